--- /dev/null
+++ b/src/dandelionctl/commands.cpp
@@ -0,0 +1,459 @@
+#include "dandelionctl/commands.h"
+
+#include "dandelionctl/node_client.h"
+#include "dandelionmount/process/crypto.h"
+#include "dandelionmount/version/configuration.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <iterator>
+#include <json/json.h>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <thread>
+
+namespace dandelionctl {
+
+namespace {
+
+using words = std::vector<std::string>;
+using std::chrono::steady_clock;
+
+constexpr auto poll_pause = std::chrono::milliseconds(50);
+
+// One run of a command: its words, its options, and the node that it talks to.
+class command {
+public:
+    command(const words& arguments, const command_options& options)
+        : arguments_(arguments), options_(options), client_(options.node) {}
+
+    exit_code apply();
+    exit_code check();
+    exit_code diff();
+    exit_code show();
+    exit_code status();
+    exit_code accounts();
+    exit_code give_key();
+    exit_code withdraw_key();
+    exit_code list_keys();
+    exit_code drain(bool on);
+    exit_code counters();
+
+private:
+    Json::Value call(const std::string& method, const Json::Value& parameters = Json::Value(Json::objectValue));
+    void print(const Json::Value& value, const std::string& text) const;
+    std::optional<dandelionmount::configuration> read_files();
+    exit_code wait_for_change(const std::string& change_id);
+    std::vector<std::string> hosts_behind(const Json::Value& status) const;
+    exit_code wait_in_force(Json::Value outcome);
+
+    const words& arguments_;
+    const command_options& options_;
+    node_client client_;
+    std::vector<dandelionmount::configuration_file> files_;
+};
+
+// Ends the command from wherever it is; run_command turns it into an exit code.
+struct node_unreachable {
+    std::string cause;
+};
+
+std::string to_json_text(const Json::Value& value) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+std::optional<std::string> read_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+words split_lines(const std::string& text) {
+    words lines;
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+// Lines only in the first text are marked -, only in the second +. Source: the longest common subsequence by
+// dynamic programming, Cormen et al., "Introduction to Algorithms", chapter 15.
+std::string line_difference(const words& before, const words& after) {
+    std::vector<std::vector<int>> common(before.size() + 1, std::vector<int>(after.size() + 1, 0));
+    for (std::size_t left = before.size(); left-- > 0;) {
+        for (std::size_t right = after.size(); right-- > 0;) {
+            common[left][right] = before[left] == after[right]
+                                      ? common[left + 1][right + 1] + 1
+                                      : std::max(common[left + 1][right], common[left][right + 1]);
+        }
+    }
+    std::string text;
+    std::size_t left = 0;
+    std::size_t right = 0;
+    while (left < before.size() || right < after.size()) {
+        if (left < before.size() && right < after.size() && before[left] == after[right]) {
+            ++left;
+            ++right;
+        } else if (right == after.size() ||
+                   (left < before.size() && common[left + 1][right] >= common[left][right + 1])) {
+            text += "-" + before[left++] + "\n";
+        } else {
+            text += "+" + after[right++] + "\n";
+        }
+    }
+    return text;
+}
+
+Json::Value command::call(const std::string& method, const Json::Value& parameters) {
+    auto answer = client_.call(method, parameters);
+    if (!answer) {
+        throw node_unreachable{client_.error()};
+    }
+    return std::move(*answer);
+}
+
+void command::print(const Json::Value& value, const std::string& text) const {
+    std::cout << (options_.json ? to_json_text(value) + "\n" : text);
+}
+
+// Reads and validates the files named on the command line; prints what is wrong with them.
+std::optional<dandelionmount::configuration> command::read_files() {
+    for (std::size_t index = 1; index < arguments_.size(); ++index) {
+        const auto text = read_file(arguments_[index]);
+        if (!text) {
+            std::cerr << arguments_[index] << ": can't be read\n";
+            return std::nullopt;
+        }
+        files_.push_back({arguments_[index], *text});
+    }
+    std::optional<dandelionmount::configuration_file> overlay;
+    if (files_.size() > 1) {
+        overlay = files_[1];
+    }
+    auto outcome = dandelionmount::read_configuration(files_[0], overlay);
+    if (!outcome.value) {
+        std::cerr << dandelionmount::to_text(outcome.errors);
+    }
+    return std::move(outcome.value);
+}
+
+exit_code command::check() {
+    if (!read_files()) {
+        return exit_code::refused;
+    }
+    Json::Value value;
+    value["valid"] = true;
+    print(value, "valid\n");
+    return exit_code::done;
+}
+
+exit_code command::apply() {
+    if (!read_files()) {
+        return exit_code::refused;
+    }
+    Json::Value parameters;
+    parameters["base"] = files_[0].text;
+    parameters["base_name"] = files_[0].name;
+    parameters["overlay"] = files_.size() > 1 ? files_[1].text : "";
+    parameters["overlay_name"] = files_.size() > 1 ? files_[1].name : "";
+    parameters["change_id"] = dandelionmount::random_token();
+    const auto in_force = call("show")["document_version"].asInt64();
+    parameters["from_version"] =
+        static_cast<Json::Int64>(options_.from_version >= 0 ? options_.from_version : in_force);
+    const Json::Value answer = call("apply", parameters);
+    if (!answer["errors"].empty()) {
+        std::cerr << to_json_text(answer["errors"]) << "\n";
+        return exit_code::refused;
+    }
+    return wait_for_change(answer["change_id"].asString());
+}
+
+exit_code command::wait_for_change(const std::string& change_id) {
+    Json::Value parameters;
+    parameters["change_id"] = change_id;
+    const auto until = steady_clock::now() + std::chrono::milliseconds(options_.wait_ms);
+    while (steady_clock::now() < until) {
+        const Json::Value answer = call("change", parameters);
+        const std::string outcome = answer["outcome"].asString();
+        if (outcome == "accepted" || outcome == "repeated") {
+            return wait_in_force(answer);
+        }
+        if (outcome == "conflict") {
+            print(answer, "conflict: the document is at version " + answer["document_version"].asString() +
+                              " by now\n");
+            return exit_code::conflict;
+        }
+        if (outcome == "invalid") {
+            print(answer, "refused: not a valid change\n");
+            return exit_code::refused;
+        }
+        std::this_thread::sleep_for(poll_pause);
+    }
+    Json::Value value;
+    value["outcome"] = "undecided";
+    value["change_id"] = change_id;
+    print(value, "undecided: the log has not taken change " + change_id + " yet; the node keeps trying\n");
+    return exit_code::undecided;
+}
+
+std::vector<std::string> command::hosts_behind(const Json::Value& status) const {
+    std::vector<std::string> behind;
+    for (const auto& member : status["members"]) {
+        const bool own = member["host"] == status["host"];
+        const bool alive = member["state"].asString() == "alive";
+        if (alive && !own && member["next_offset"].asUInt64() < status["version"].asUInt64()) {
+            behind.push_back(member["zone"].asString() + "/" + member["host"].asString());
+        }
+    }
+    return behind;
+}
+
+exit_code command::wait_in_force(Json::Value outcome) {
+    const auto until = steady_clock::now() + std::chrono::milliseconds(options_.wait_ms);
+    std::vector<std::string> behind = hosts_behind(call("status"));
+    while (!behind.empty() && steady_clock::now() < until) {
+        std::this_thread::sleep_for(poll_pause);
+        behind = hosts_behind(call("status"));
+    }
+    std::string text = "accepted, version " + outcome["version"].asString() + "\n";
+    outcome["not_confirmed"] = Json::Value(Json::arrayValue);
+    for (const auto& host : behind) {
+        outcome["not_confirmed"].append(host);
+        text += "not confirmed by " + host + "\n";
+    }
+    print(outcome, text);
+    return exit_code::done;
+}
+
+exit_code command::show() {
+    const Json::Value answer = call("show");
+    print(answer, "# version " + answer["document_version"].asString() + "\n" + answer["document"].asString());
+    return exit_code::done;
+}
+
+exit_code command::diff() {
+    const auto config = read_files();
+    if (!config) {
+        return exit_code::refused;
+    }
+    const std::string before = call("show")["document"].asString();
+    const std::string text =
+        line_difference(split_lines(before), split_lines(dandelionmount::render_configuration(*config)));
+    Json::Value value;
+    value["difference"] = text;
+    print(value, text);
+    return exit_code::done;
+}
+
+exit_code command::status() {
+    const Json::Value value = call("status");
+    std::ostringstream text;
+    text << "host " << value["host"].asString() << " zone " << value["zone"].asString() << " version "
+         << value["version"].asString() << " holds slot " << value["holds_slot"].asString() << "\n";
+    for (const auto& member : value["members"]) {
+        text << "  " << member["zone"].asString() << "/" << member["slot"].asString() << " "
+             << member["host"].asString() << " " << member["state"].asString() << " "
+             << member["service"].asString() << " " << member["target"].asString() << "\n";
+    }
+    print(value, text.str());
+    return exit_code::done;
+}
+
+exit_code command::accounts() {
+    const Json::Value answer = call("show");
+    const auto read = dandelionmount::read_configuration({"shown", answer["document"].asString()}, std::nullopt);
+    Json::Value values(Json::arrayValue);
+    std::string text;
+    if (read.value) {
+        for (const auto& account : read.value->accounts) {
+            Json::Value value;
+            value["name"] = account.name;
+            value["rate"] = account.rate;
+            value["burst"] = account.burst;
+            values.append(value);
+            std::ostringstream line;
+            line << account.name << " rate " << account.rate << " burst " << account.burst << "\n";
+            text += line.str();
+        }
+    }
+    print(values, text);
+    return exit_code::done;
+}
+
+exit_code command::give_key() {
+    const std::string key = dandelionmount::random_token() + dandelionmount::random_token();
+    Json::Value parameters;
+    parameters["account"] = arguments_[2];
+    parameters["key_hash"] = dandelionmount::sha256_hex(key);
+    parameters["change_id"] = dandelionmount::random_token();
+    const Json::Value answer = call("give_key", parameters);
+    if (answer.isMember("error")) {
+        std::cerr << answer["error"].asString() << "\n";
+        return exit_code::refused;
+    }
+    const exit_code decided = wait_for_change(answer["change_id"].asString());
+    if (decided == exit_code::done) {
+        // The only time that the key is shown: what is stored is its hash.
+        Json::Value value;
+        value["account"] = arguments_[2];
+        value["key_id"] = answer["key_id"];
+        value["key"] = key;
+        print(value, "key " + key + "\nkey id " + answer["key_id"].asString() + "\n");
+    }
+    return decided;
+}
+
+exit_code command::withdraw_key() {
+    Json::Value parameters;
+    parameters["key_id"] = arguments_[2];
+    const Json::Value answer = call("withdraw_key", parameters);
+    if (answer.isMember("error")) {
+        std::cerr << answer["error"].asString() << "\n";
+        return exit_code::refused;
+    }
+    const auto until = steady_clock::now() + std::chrono::milliseconds(options_.wait_ms);
+    Json::Value state;
+    std::string missing;
+    do {
+        state = call("withdrawal", parameters);
+        missing.clear();
+        for (const auto& zone : state["zones"].getMemberNames()) {
+            const auto& counts = state["zones"][zone];
+            if (counts["confirmed"].asInt() < counts["hosts"].asInt()) {
+                missing += "not confirmed by zone " + zone + ": " + counts["confirmed"].asString() + " of " +
+                           counts["hosts"].asString() + " hosts\n";
+            }
+        }
+        if (!missing.empty()) {
+            std::this_thread::sleep_for(poll_pause);
+        }
+    } while (!missing.empty() && steady_clock::now() < until);
+    state["key_id"] = arguments_[2];
+    print(state, "withdrawn " + arguments_[2] + "\n" + missing);
+    return missing.empty() ? exit_code::done : exit_code::undecided;
+}
+
+exit_code command::list_keys() {
+    const Json::Value answer = call("list_keys");
+    std::string text;
+    for (const auto& key : answer["keys"]) {
+        text += key["account"].asString() + " " + key["key_id"].asString() + " " + key["source"].asString() +
+                (key["withdrawn"].asBool() ? " withdrawn\n" : "\n");
+    }
+    print(answer, text);
+    return exit_code::done;
+}
+
+exit_code command::drain(bool on) {
+    Json::Value parameters;
+    parameters["on"] = on;
+    const Json::Value answer = call("drain", parameters);
+    print(answer, on ? "draining\n" : "taking work again\n");
+    return exit_code::done;
+}
+
+exit_code command::counters() {
+    const auto fetched = client_.get("/metrics");
+    if (!fetched) {
+        throw node_unreachable{client_.error()};
+    }
+    const std::string& text = *fetched;
+    Json::Value values(Json::objectValue);
+    for (const auto& line : split_lines(text)) {
+        const auto space = line.rfind(' ');
+        if (!line.empty() && line[0] != '#' && space != std::string::npos) {
+            values[line.substr(0, space)] = std::stod(line.substr(space + 1));
+        }
+    }
+    print(values, text);
+    return exit_code::done;
+}
+
+struct command_entry {
+    std::string words;
+    std::size_t least_arguments;
+    std::size_t most_arguments;
+    std::function<exit_code(command&)> run;
+};
+
+const std::vector<command_entry>& command_table() {
+    static const std::vector<command_entry> table = {
+        {"apply", 1, 2, [](command& one) { return one.apply(); }},
+        {"check", 1, 2, [](command& one) { return one.check(); }},
+        {"diff", 1, 2, [](command& one) { return one.diff(); }},
+        {"show", 0, 0, [](command& one) { return one.show(); }},
+        {"status", 0, 0, [](command& one) { return one.status(); }},
+        {"account list", 0, 0, [](command& one) { return one.accounts(); }},
+        {"key give", 1, 1, [](command& one) { return one.give_key(); }},
+        {"key withdraw", 1, 1, [](command& one) { return one.withdraw_key(); }},
+        {"key list", 0, 0, [](command& one) { return one.list_keys(); }},
+        {"host drain", 0, 0, [](command& one) { return one.drain(true); }},
+        {"host undrain", 0, 0, [](command& one) { return one.drain(false); }},
+        {"counters", 0, 0, [](command& one) { return one.counters(); }},
+    };
+    return table;
+}
+
+const command_entry* find_command(const words& given, std::size_t& words_used) {
+    for (const auto& entry : command_table()) {
+        const words names = [&] {
+            words parts;
+            std::istringstream stream(entry.words);
+            for (std::string part; stream >> part;) {
+                parts.push_back(part);
+            }
+            return parts;
+        }();
+        if (given.size() >= names.size() && std::equal(names.begin(), names.end(), given.begin())) {
+            words_used = names.size();
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::string usage_text() {
+    return "dandelionctl [--node IP:PORT] [--json] [--wait_ms N] COMMAND\n"
+           "  apply BASE [OVERLAY]    put a configuration in force\n"
+           "  check BASE [OVERLAY]    validate files; talks to nobody\n"
+           "  diff BASE [OVERLAY]     what apply would change\n"
+           "  show                    the configuration in force\n"
+           "  status                  the node and the hosts it knows\n"
+           "  account list            client accounts with rate and burst\n"
+           "  key give ACCOUNT        make a key; it is shown once\n"
+           "  key withdraw KEY_ID     withdraw a key for good\n"
+           "  key list                key ids by account\n"
+           "  host drain|undrain      give the node's target no new work, or work again\n"
+           "  counters                the node's counters\n"
+           "exit codes: 0 done, 1 refused, 2 usage, 3 conflict, 4 node unreachable, 5 not decided in time\n";
+}
+
+exit_code run_command(const std::vector<std::string>& given, const command_options& options) {
+    std::size_t words_used = 0;
+    const command_entry* entry = find_command(given, words_used);
+    const std::size_t arguments = given.size() - words_used;
+    if (entry == nullptr || arguments < entry->least_arguments || arguments > entry->most_arguments) {
+        std::cerr << usage_text();
+        return exit_code::usage;
+    }
+    try {
+        command one(given, options);
+        return entry->run(one);
+    } catch (const node_unreachable& error) {
+        std::cerr << error.cause << "\n";
+        return exit_code::unreachable;
+    }
+}
+
+} // namespace dandelionctl
--- /dev/null
+++ b/src/dandelionmount/connection/async_event.h
@@ -0,0 +1,85 @@
+#ifndef DANDELIONMOUNT_CONNECTION_ASYNC_EVENT_H
+#define DANDELIONMOUNT_CONNECTION_ASYNC_EVENT_H
+
+#include "dandelionmount/process/clock.h"
+
+#include <algorithm>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace dandelionmount {
+
+/// Completion token: the error comes first in a tuple, nothing is thrown.
+constexpr auto as_result = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// Something that happens once and that coroutines of one thread wait for.
+class async_event {
+public:
+    explicit async_event(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
+    async_event(const async_event&) = delete;
+    async_event& operator=(const async_event&) = delete;
+    ~async_event() = default;
+
+    /// Wakes everybody who waits, now and later.
+    void set() {
+        is_set_ = true;
+        for (auto* timer : waiting_) {
+            timer->cancel();
+        }
+    }
+    /// Makes the event wait for the next set().
+    void reset() { is_set_ = false; }
+    [[nodiscard]] bool is_set() const { return is_set_; }
+
+    /// Waits for the event; false when the time came first.
+    boost::asio::awaitable<bool> wait_until(steady_time deadline) {
+        if (is_set_) {
+            co_return true;
+        }
+        boost::asio::steady_timer timer(executor_, deadline);
+        waiting_.push_back(&timer);
+        co_await timer.async_wait(as_result);
+        std::erase(waiting_, &timer);
+        co_return is_set_;
+    }
+
+private:
+    boost::asio::any_io_executor executor_;
+    std::vector<boost::asio::steady_timer*> waiting_;
+    bool is_set_{false};
+};
+
+/// Waits for that long.
+inline boost::asio::awaitable<void> sleep_for(boost::asio::any_io_executor executor, duration time) {
+    boost::asio::steady_timer timer(std::move(executor), time);
+    co_await timer.async_wait(as_result);
+}
+
+/// Tells the work for one request that nobody wants its answer any more.
+class cancel_token {
+public:
+    void request() {
+        requested_ = true;
+        const auto actions = actions_;
+        for (const auto& action : actions) {
+            action();
+        }
+    }
+    [[nodiscard]] bool requested() const { return requested_; }
+    /// Adds what to do on a request; the action has to be safe to call at any later time.
+    void on_request(std::function<void()> action) { actions_.push_back(std::move(action)); }
+
+private:
+    bool requested_{false};
+    std::vector<std::function<void()>> actions_;
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/connection/caller_server.h
@@ -0,0 +1,64 @@
+#ifndef DANDELIONMOUNT_CONNECTION_CALLER_SERVER_H
+#define DANDELIONMOUNT_CONNECTION_CALLER_SERVER_H
+
+#include "dandelionmount/connection/http_server.h"
+#include "dandelionmount/process/claim_service.h"
+#include "dandelionmount/process/configuration_store.h"
+#include "dandelionmount/process/metrics.h"
+#include "dandelionmount/process/rate_service.h"
+#include "dandelionmount/request/dispatcher.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace dandelionmount {
+
+/// What a caller server needs of its process. All of it outlives the server.
+struct caller_server_context {
+    const time_source& time;
+    metrics& counters;
+    const configuration_store& configuration;
+    rate_service& rates;
+    claim_service& claims;
+    dispatcher& requests;
+};
+
+/// Takes callers' requests: checks key, route, rate and idempotency key, and hands them on.
+class caller_server {
+public:
+    caller_server(caller_server_context context, boost::asio::any_io_executor executor,
+                  const caller_limits& limits);
+
+    result<void> listen(std::string_view address) { return server_.listen(address); }
+    [[nodiscard]] http_server& server() { return server_; }
+
+private:
+    /// What the checks of a request came to: who called and where it goes, or why it is refused. The route is a
+    /// copy, as a later version may replace it while the request runs.
+    struct checked_request {
+        reason why{reason::none};
+        route_settings route;
+        key_owner owner;
+        duration timeout{};
+    };
+
+    boost::asio::awaitable<http_response> answer(http_request request, std::shared_ptr<cancel_token> cancel);
+    boost::asio::awaitable<wire::forward_reply> run(const http_request& request, checked_request checked,
+                                                    std::shared_ptr<cancel_token> cancel);
+    boost::asio::awaitable<wire::forward_reply> run_claimed(const http_request& request, std::string key,
+                                                            dispatch_order order);
+    [[nodiscard]] dispatch_order make_order(const http_request& request, const checked_request& checked,
+                                            std::shared_ptr<cancel_token> cancel) const;
+    [[nodiscard]] checked_request check(const http_request& request) const;
+    [[nodiscard]] reason check_key(const http_request& request, checked_request& checked) const;
+    [[nodiscard]] http_response refuse(reason why, duration retry_after);
+    void log_end(const checked_request& checked, const wire::forward_reply& reply) const;
+
+    caller_server_context context_;
+    http_server server_;
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/connection/http_server.cpp
@@ -0,0 +1,257 @@
+#include "dandelionmount/connection/http_server.h"
+
+#include "dandelionmount/connection/listen.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
+
+namespace dandelionmount {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr duration accept_pause = std::chrono::milliseconds(10);
+constexpr duration write_limit = std::chrono::seconds(10);
+// How long a refused caller may go on sending before its connection is closed under it.
+constexpr duration drain_limit = std::chrono::milliseconds(300);
+// Connections above the limit that are told so; still more are closed without an answer.
+constexpr std::size_t refused_connections = 64;
+constexpr duration connection_return_time = std::chrono::seconds(2);
+
+reason receive_failure(const boost::system::error_code& error) {
+    if (error == http::error::header_limit) {
+        return reason::headers_too_large;
+    }
+    if (error == http::error::body_limit) {
+        return reason::body_too_large;
+    }
+    if (error == boost::beast::error::timeout) {
+        return reason::slow_caller;
+    }
+    const bool parse_error = error.category() == make_error_code(http::error::bad_method).category();
+    const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
+    return parse_error && !ended ? reason::bad_request : reason::none;
+}
+
+// What the socket holds without taking it: bytes, the end of the stream, or an error.
+enum class peek_outcome { bytes, end, broken };
+
+peek_outcome peek(tcp::socket& socket) {
+    char byte = 0;
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+        return peek_outcome::bytes;
+    }
+    if (count == 0) {
+        return peek_outcome::end;
+    }
+    return errno == EAGAIN || errno == EWOULDBLOCK ? peek_outcome::bytes : peek_outcome::broken;
+}
+
+} // namespace
+
+http_server::http_server(asio::any_io_executor executor, const caller_limits& limits, metrics& counters,
+                         http_handler handler)
+    : executor_(std::move(executor)), limits_(limits), counters_(counters), handler_(std::move(handler)),
+      acceptor_(executor_) {}
+
+result<void> http_server::listen(std::string_view address) {
+    const auto opened = open_acceptor(acceptor_, address);
+    if (opened) {
+        asio::co_spawn(executor_, accept_connections(), asio::detached);
+    }
+    return opened;
+}
+
+void http_server::drain() {
+    draining_ = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+void http_server::close_idle() {
+    for (const auto& conn : connections_) {
+        if (conn->idle) {
+            conn->stream.cancel();
+        }
+    }
+}
+
+asio::awaitable<void> http_server::accept_connections() {
+    while (acceptor_.is_open()) {
+        auto [error, socket] = co_await acceptor_.async_accept(as_result);
+        if (error) {
+            co_await sleep_for(executor_, accept_pause);
+            continue;
+        }
+        if (connections_.size() >= limits_.connections + refused_connections) {
+            counters_.refused(reason::connection_limit);
+            continue;
+        }
+        auto conn = std::make_shared<connection>(std::move(socket));
+        connections_.insert(conn);
+        asio::co_spawn(executor_, serve(conn), asio::detached);
+    }
+}
+
+// The task of one connection: requests are read and answered one after another.
+asio::awaitable<void> http_server::serve(connection_pointer conn) {
+    counters_.count(event::caller_connections);
+    boost::system::error_code ignored;
+    conn->stream.socket().set_option(tcp::no_delay(true), ignored);
+    if (connections_.size() > limits_.connections) {
+        co_await refuse(conn, reason::connection_limit);
+    } else {
+        bool open = true;
+        while (open) {
+            http_request request;
+            const auto received = co_await receive(conn, request);
+            open = received == receive_outcome::request;
+            if (open) {
+                open = co_await answer(conn, std::move(request));
+            }
+        }
+    }
+    conn->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    conn->stream.close();
+    connections_.erase(conn);
+}
+
+asio::awaitable<http_server::receive_outcome> http_server::receive(connection_pointer conn,
+                                                                  http_request& request) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits_.header_bytes);
+    parser.body_limit(limits_.body_bytes);
+    boost::system::error_code error;
+    if (conn->buffer.size() == 0) {
+        conn->idle = true;
+        conn->stream.expires_after(limits_.idle);
+        constexpr std::size_t first_bytes = 4096;
+        auto [read_error, count] =
+            co_await conn->stream.async_read_some(conn->buffer.prepare(first_bytes), as_result);
+        conn->buffer.commit(count);
+        conn->idle = false;
+        if (read_error) {
+            co_return receive_outcome::ended;
+        }
+    }
+    conn->stream.expires_after(limits_.receive);
+    auto [header_error, header_count] =
+        co_await http::async_read_header(conn->stream, conn->buffer, parser, as_result);
+    error = header_error;
+    const bool expects = !error && parser.get().count(http::field::expect) > 0;
+    if (expects && !parser.is_done()) {
+        auto [continue_error, written] = co_await asio::async_write(
+            conn->stream, asio::buffer(continue_line.data(), continue_line.size()), as_result);
+        error = continue_error;
+    }
+    if (!error) {
+        auto [body_error, body_count] =
+            co_await http::async_read(conn->stream, conn->buffer, parser, as_result);
+        error = body_error;
+    }
+    if (error) {
+        const reason why = receive_failure(error);
+        if (why != reason::none) {
+            co_await refuse(conn, why);
+        }
+        co_return receive_outcome::refused;
+    }
+    request = parser.release();
+    co_return receive_outcome::request;
+}
+
+asio::awaitable<bool> http_server::answer(connection_pointer conn, http_request request) {
+    const bool keep_alive = request.keep_alive();
+    const unsigned version = request.version();
+    const bool head = request.method() == http::verb::head;
+    conn->stream.expires_never();
+    ++busy_;
+    auto cancel = std::make_shared<cancel_token>();
+    auto done = std::make_shared<bool>(false);
+    asio::co_spawn(executor_, watch(conn, cancel, done), asio::detached);
+    http_response response = co_await handler_(std::move(request), cancel);
+    *done = true;
+    boost::system::error_code ignored;
+    conn->stream.socket().cancel(ignored);
+    --busy_;
+    if (cancel->requested()) {
+        co_return false;
+    }
+    response.version(version);
+    response.keep_alive(keep_alive && !draining_);
+    conn->stream.expires_after(write_limit);
+    http::response_serializer<http::string_body> serializer(response);
+    serializer.split(head);
+    boost::system::error_code error;
+    if (head) {
+        auto [head_error, count] = co_await http::async_write_header(conn->stream, serializer, as_result);
+        error = head_error;
+    } else {
+        auto [write_error, count] = co_await http::async_write(conn->stream, serializer, as_result);
+        error = write_error;
+    }
+    co_return !error && response.keep_alive();
+}
+
+asio::awaitable<void> http_server::refuse(connection_pointer conn, reason why) {
+    counters_.refused(why);
+    http_response response = make_refusal(why, connection_return_time);
+    response.keep_alive(false);
+    conn->stream.expires_after(write_limit);
+    auto [write_error, count] = co_await http::async_write(conn->stream, response, as_result);
+    boost::system::error_code ignored;
+    conn->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    // Closing while bytes are still arriving would reset the connection and lose the refusal on its way.
+    conn->stream.expires_after(drain_limit);
+    std::array<char, 4096> rest{};
+    boost::system::error_code error = write_error;
+    while (!error) {
+        auto [read_error, read_count] =
+            co_await conn->stream.async_read_some(asio::buffer(rest), as_result);
+        error = read_error;
+    }
+}
+
+// Notices a caller that went away while its request is worked on. The end of its stream alone doesn't say so,
+// since a caller may close its sending side and still read: an interim answer, legal at any time, is then sent,
+// and a caller that is really gone resets the connection.
+asio::awaitable<void> http_server::watch(connection_pointer conn, std::shared_ptr<cancel_token> cancel,
+                                         std::shared_ptr<bool> done) {
+    tcp::socket& socket = conn->stream.socket();
+    auto [wait_error] = co_await socket.async_wait(tcp::socket::wait_read, as_result);
+    if (*done || wait_error) {
+        co_return;
+    }
+    const peek_outcome seen = peek(socket);
+    if (seen == peek_outcome::end) {
+        constexpr duration reset_wait = std::chrono::milliseconds(20);
+        boost::system::error_code ignored;
+        socket.write_some(asio::buffer(continue_line.data(), continue_line.size()), ignored);
+        co_await sleep_for(executor_, reset_wait);
+        if (*done) {
+            co_return;
+        }
+        int failed = 0;
+        socklen_t size = sizeof failed;
+        ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &failed, &size);
+        if (failed != 0) {
+            cancel->request();
+        }
+    } else if (seen == peek_outcome::broken) {
+        cancel->request();
+    }
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/connection/http_server.h
@@ -0,0 +1,71 @@
+#ifndef DANDELIONMOUNT_CONNECTION_HTTP_SERVER_H
+#define DANDELIONMOUNT_CONNECTION_HTTP_SERVER_H
+
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/http_headers.h"
+#include "dandelionmount/process/metrics.h"
+#include "dandelionmount/process/result.h"
+#include "dandelionmount/process/settings.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string_view>
+
+namespace dandelionmount {
+
+/// Answers one request; the token is asked to cancel when the caller is gone.
+using http_handler =
+    std::function<boost::asio::awaitable<http_response>(http_request, std::shared_ptr<cancel_token>)>;
+
+/// Accepts HTTP/1.1 connections and answers their requests one after another.
+class http_server {
+public:
+    http_server(boost::asio::any_io_executor executor, const caller_limits& limits, metrics& counters,
+                http_handler handler);
+
+    /// Opens the port; fails with the system's message.
+    result<void> listen(std::string_view address);
+    /// Takes no new connection; those that are open are closed after their next answer.
+    void drain();
+    /// Closes connections that wait for a request.
+    void close_idle();
+    [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+    /// Requests that are being answered.
+    [[nodiscard]] std::size_t busy() const { return busy_; }
+
+private:
+    struct connection {
+        explicit connection(boost::asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
+        boost::beast::tcp_stream stream;
+        boost::beast::flat_buffer buffer;
+        bool idle{true};
+    };
+    using connection_pointer = std::shared_ptr<connection>;
+    enum class receive_outcome { request, refused, ended };
+
+    boost::asio::awaitable<void> accept_connections();
+    boost::asio::awaitable<void> serve(connection_pointer conn);
+    boost::asio::awaitable<receive_outcome> receive(connection_pointer conn, http_request& request);
+    boost::asio::awaitable<bool> answer(connection_pointer conn, http_request request);
+    boost::asio::awaitable<void> refuse(connection_pointer conn, reason why);
+    boost::asio::awaitable<void> watch(connection_pointer conn, std::shared_ptr<cancel_token> cancel,
+                                       std::shared_ptr<bool> done);
+
+    boost::asio::any_io_executor executor_;
+    caller_limits limits_;
+    metrics& counters_;
+    http_handler handler_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::set<connection_pointer> connections_;
+    std::size_t busy_{0};
+    bool draining_{false};
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -0,0 +1,342 @@
+#include "dandelionmount/connection/peer_link.h"
+
+#include "dandelionmount/connection/address.h"
+#include "dandelionmount/process/logging.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace dandelionmount {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr duration connect_limit = std::chrono::milliseconds(500);
+constexpr duration heartbeat_interval = std::chrono::milliseconds(200);
+// A connection on which nothing arrived for this long counts as lost, though it may look open.
+constexpr duration silence_limit = std::chrono::milliseconds(800);
+// How long to try to learn the outcome of a request after its connection was lost.
+constexpr duration settle_limit = std::chrono::milliseconds(2500);
+constexpr duration settle_answer_limit = std::chrono::milliseconds(700);
+constexpr duration reconnect_pause = std::chrono::milliseconds(20);
+
+wire::peer_frame make_heartbeat() {
+    wire::peer_frame frame;
+    frame.mutable_heartbeat()->set_sequence(0);
+    return frame;
+}
+
+std::string reply_key_of(const wire::peer_frame& frame) {
+    switch (frame.body_case()) {
+    case wire::peer_frame::kForwardReply:
+        return forward_key(frame.forward_reply().id(), frame.forward_reply().attempt());
+    case wire::peer_frame::kSettleReply:
+        return settle_key(frame.settle_reply().id(), frame.settle_reply().attempt());
+    case wire::peer_frame::kTokenReply:
+        return token_key(frame.token_reply().grant_id());
+    case wire::peer_frame::kClaimReply:
+        return call_key(frame.claim_reply().call());
+    case wire::peer_frame::kClaimCopyReply:
+        return call_key(frame.claim_copy_reply().call());
+    case wire::peer_frame::kStateReply:
+        return call_key(frame.state_reply().call());
+    default:
+        return {};
+    }
+}
+
+} // namespace
+
+std::string forward_key(std::string_view id, std::uint32_t attempt) {
+    return "f" + std::string(id) + "." + std::to_string(attempt);
+}
+
+std::string settle_key(std::string_view id, std::uint32_t attempt) {
+    return "s" + std::string(id) + "." + std::to_string(attempt);
+}
+
+std::string token_key(std::uint64_t grant_id) { return "t" + std::to_string(grant_id); }
+
+std::string call_key(std::uint64_t call) { return "c" + std::to_string(call); }
+
+wire::forward_reply make_reply(const wire::forward_request& request, wire::forward_outcome outcome,
+                               reason why) {
+    wire::forward_reply reply;
+    reply.set_id(request.id());
+    reply.set_attempt(request.attempt());
+    reply.set_outcome(outcome);
+    reply.set_reason(std::string(reason_token(why)));
+    return reply;
+}
+
+peer_link::peer_link(peer_link_context context, std::string host, std::string address)
+    : context_(std::move(context)), host_(std::move(host)), address_(std::move(address)),
+      connect_done_(context_.executor) {}
+
+void peer_link::stop() {
+    stopped_ = true;
+    if (stream_) {
+        stream_->close();
+    }
+}
+
+asio::awaitable<peer_link::connect_outcome> peer_link::wait_connected(steady_time deadline) {
+    auto self = shared_from_this();
+    while (!stopped_) {
+        if (stream_ && stream_->is_open()) {
+            co_return connect_outcome::connected;
+        }
+        start_connecting();
+        const bool done = co_await connect_done_.wait_until(deadline);
+        if (stream_ && stream_->is_open()) {
+            co_return connect_outcome::connected;
+        }
+        if (done && refused_) {
+            co_return connect_outcome::refused;
+        }
+        if (context_.time.now() + reconnect_pause >= deadline) {
+            break;
+        }
+        co_await sleep_for(context_.executor, reconnect_pause);
+    }
+    co_return connect_outcome::timed_out;
+}
+
+void peer_link::start_connecting() {
+    if (connecting_) {
+        return;
+    }
+    connecting_ = true;
+    connect_done_.reset();
+    asio::co_spawn(
+        context_.executor, [self = shared_from_this()] { return self->connect_and_read(); }, asio::detached);
+}
+
+// The task of this peer: one connection from its opening to its end.
+asio::awaitable<void> peer_link::connect_and_read() {
+    const bool opened = co_await open_connection();
+    connecting_ = false;
+    connect_done_.set();
+    if (!opened) {
+        co_return;
+    }
+    auto stream = stream_;
+    asio::co_spawn(
+        context_.executor, [self = shared_from_this(), stream] { return self->send_heartbeats(stream); },
+        asio::detached);
+    co_await read_frames(stream);
+    connection_ended();
+}
+
+asio::awaitable<bool> peer_link::open_connection() {
+    refused_ = false;
+    const auto address = parse_address(address_);
+    if (!address) {
+        co_return false;
+    }
+    auto socket = std::make_shared<tcp::socket>(context_.executor);
+    asio::steady_timer limit(context_.executor, connect_limit);
+    limit.async_wait([socket](const boost::system::error_code& error) {
+        if (!error) {
+            boost::system::error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    auto [error] = co_await socket->async_connect(tcp::endpoint(address->ip, address->port), as_result);
+    limit.cancel();
+    if (error) {
+        refused_ = error == asio::error::connection_refused;
+        co_return false;
+    }
+    socket->set_option(tcp::no_delay(true), error);
+    auto stream = std::make_shared<frame_stream>(std::move(*socket));
+    const auto peer = co_await connect_handshake(*stream, context_.self);
+    if (!peer) {
+        log_event(log_level::warning, "peer handshake failed",
+                  {{"host", host_}, {"cause", peer.error().message}});
+        stream->close();
+        co_return false;
+    }
+    stream_ = stream;
+    peer_incarnation_ = peer.value().incarnation;
+    last_heard_ = context_.time.now();
+    co_return true;
+}
+
+asio::awaitable<void> peer_link::read_frames(std::shared_ptr<frame_stream> stream) {
+    while (true) {
+        auto frame = co_await stream->read(most_frame_bytes);
+        if (!frame) {
+            co_return;
+        }
+        last_heard_ = context_.time.now();
+        take_frame(std::move(frame.value()));
+    }
+}
+
+asio::awaitable<void> peer_link::send_heartbeats(std::shared_ptr<frame_stream> stream) {
+    while (stream->is_open()) {
+        stream->send(make_heartbeat());
+        co_await sleep_for(context_.executor, heartbeat_interval);
+        if (context_.time.now() - last_heard_ > silence_limit) {
+            stream->close();
+        }
+    }
+}
+
+void peer_link::take_frame(wire::peer_frame frame) {
+    const auto found = pending_.find(reply_key_of(frame));
+    if (found == pending_.end()) {
+        return;
+    }
+    found->second->reply = std::move(frame);
+    found->second->changed.set();
+}
+
+void peer_link::connection_ended() {
+    if (stream_) {
+        stream_->close();
+    }
+    stream_.reset();
+    const auto pending = pending_;
+    for (const auto& [key, waiting] : pending) {
+        waiting->broken = true;
+        waiting->changed.set();
+    }
+}
+
+peer_link::pending_pointer peer_link::add_pending(const std::string& key) {
+    auto pending = std::make_shared<pending_reply>(context_.executor);
+    pending_[key] = pending;
+    return pending;
+}
+
+asio::awaitable<std::optional<wire::peer_frame>> peer_link::call(wire::peer_frame frame, std::string reply_key,
+                                                                 steady_time deadline) {
+    auto self = shared_from_this();
+    const auto connected = co_await wait_connected(deadline);
+    if (connected != connect_outcome::connected) {
+        co_return std::nullopt;
+    }
+    const auto pending = add_pending(reply_key);
+    stream_->send(frame);
+    co_await pending->changed.wait_until(deadline);
+    const auto found = pending_.find(reply_key);
+    if (found != pending_.end() && found->second == pending) {
+        pending_.erase(found);
+    }
+    co_return std::move(pending->reply);
+}
+
+asio::awaitable<wire::forward_reply> peer_link::forward(wire::forward_request request, steady_time deadline,
+                                                        std::shared_ptr<cancel_token> cancel) {
+    auto self = shared_from_this();
+    const auto connect_by = std::min(deadline, context_.time.now() + connect_limit);
+    const auto connected = co_await wait_connected(connect_by);
+    if (connected != connect_outcome::connected || cancel->requested()) {
+        const reason why = cancel->requested() ? reason::caller_gone : reason::peer_unreachable;
+        co_return make_reply(request, wire::not_run, why);
+    }
+    cancel->on_request([weak = weak_from_this(), id = request.id(), attempt = request.attempt()] {
+        if (const auto link = weak.lock()) {
+            wire::forward_request named;
+            named.set_id(id);
+            named.set_attempt(attempt);
+            link->send_cancel(named);
+        }
+    });
+    auto reply = co_await await_reply(request, deadline);
+    pending_.erase(forward_key(request.id(), request.attempt()));
+    co_return reply;
+}
+
+asio::awaitable<wire::forward_reply> peer_link::await_reply(const wire::forward_request& request,
+                                                            steady_time deadline) {
+    const std::uint64_t incarnation = peer_incarnation_;
+    const std::string key = forward_key(request.id(), request.attempt());
+    auto pending = add_pending(key);
+    wire::peer_frame frame;
+    *frame.mutable_forward_request() = request;
+    stream_->send(frame);
+    while (true) {
+        const bool changed = co_await pending->changed.wait_until(deadline);
+        if (pending->reply) {
+            send_ack(pending->reply->forward_reply());
+            co_return pending->reply->forward_reply();
+        }
+        if (!changed) {
+            send_cancel(request);
+            co_return make_reply(request, wire::unknown, reason::deadline);
+        }
+        if (!context_.settles) {
+            co_return make_reply(request, wire::unknown, reason::peer_lost);
+        }
+        // Registered before the question, as the answer itself may come right behind its outcome.
+        pending = add_pending(key);
+        const auto settled = co_await settle(request, incarnation, deadline);
+        if (settled == settle_outcome::not_run) {
+            context_.counters.count(event::settle_proved);
+            co_return make_reply(request, wire::not_run, reason::peer_lost);
+        }
+        if (settled == settle_outcome::unknown) {
+            co_return make_reply(request, wire::unknown, reason::peer_lost);
+        }
+    }
+}
+
+// Asks on a new connection what became of a request whose connection was lost.
+asio::awaitable<peer_link::settle_outcome> peer_link::settle(const wire::forward_request& request,
+                                                             std::uint64_t incarnation, steady_time deadline) {
+    const auto give_up = std::min(deadline, context_.time.now() + settle_limit);
+    while (context_.time.now() < give_up) {
+        const auto connected = co_await wait_connected(give_up);
+        if (connected != connect_outcome::connected || peer_incarnation_ != incarnation) {
+            // Nobody listens, or another process does: what the first one did can't be learnt any more.
+            co_return settle_outcome::unknown;
+        }
+        context_.counters.count(event::settle_questions);
+        wire::peer_frame frame;
+        frame.mutable_settle_request()->set_id(request.id());
+        frame.mutable_settle_request()->set_attempt(request.attempt());
+        const auto answer_by = std::min(give_up, context_.time.now() + settle_answer_limit);
+        const auto reply = co_await call(frame, settle_key(request.id(), request.attempt()), answer_by);
+        if (!reply) {
+            continue;
+        }
+        switch (reply->settle_reply().state()) {
+        case wire::settle_not_seen:
+        case wire::settle_dropped:
+            co_return settle_outcome::not_run;
+        case wire::settle_running:
+        case wire::settle_finished:
+            co_return settle_outcome::pending;
+        default:
+            co_return settle_outcome::unknown;
+        }
+    }
+    co_return settle_outcome::unknown;
+}
+
+void peer_link::send_cancel(const wire::forward_request& request) {
+    if (stream_) {
+        context_.counters.count(event::cancels);
+        wire::peer_frame frame;
+        frame.mutable_cancel_request()->set_id(request.id());
+        frame.mutable_cancel_request()->set_attempt(request.attempt());
+        stream_->send(frame);
+    }
+}
+
+void peer_link::send_ack(const wire::forward_reply& reply) {
+    if (stream_) {
+        wire::peer_frame frame;
+        frame.mutable_reply_ack()->set_id(reply.id());
+        frame.mutable_reply_ack()->set_attempt(reply.attempt());
+        stream_->send(frame);
+    }
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/connection/peer_link.h
@@ -0,0 +1,96 @@
+#ifndef DANDELIONMOUNT_CONNECTION_PEER_LINK_H
+#define DANDELIONMOUNT_CONNECTION_PEER_LINK_H
+
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/frame_stream.h"
+#include "dandelionmount/connection/peer_handshake.h"
+#include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/metrics.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace dandelionmount {
+
+/// What a link needs of its process. All of it outlives the link.
+struct peer_link_context {
+    boost::asio::any_io_executor executor;
+    const peer_identity& self;
+    const time_source& time;
+    metrics& counters;
+    /// Whether lost connections are followed by the question what became of a request. Off only in benchmarks.
+    bool settles{true};
+};
+
+/// Requests to one other host, over one connection that is opened when it is needed.
+class peer_link : public std::enable_shared_from_this<peer_link> {
+public:
+    peer_link(peer_link_context context, std::string host, std::string address);
+
+    /// Sends a request and waits for its outcome until the deadline. A lost connection is followed by another, on
+    /// which the outcome is asked for. The answer is `unknown` only where nothing else can be proved.
+    boost::asio::awaitable<wire::forward_reply> forward(wire::forward_request request, steady_time deadline,
+                                                        std::shared_ptr<cancel_token> cancel);
+    /// Sends a frame that is answered by one with the same number; nothing when there is no answer in time.
+    boost::asio::awaitable<std::optional<wire::peer_frame>> call(wire::peer_frame frame, std::string reply_key,
+                                                                 steady_time deadline);
+    /// Closes the connection and opens none any more.
+    void stop();
+    [[nodiscard]] const std::string& address() const { return address_; }
+    [[nodiscard]] const std::string& host() const { return host_; }
+
+private:
+    struct pending_reply {
+        explicit pending_reply(const boost::asio::any_io_executor& executor) : changed(executor) {}
+        async_event changed;
+        std::optional<wire::peer_frame> reply;
+        bool broken{false};
+    };
+    using pending_pointer = std::shared_ptr<pending_reply>;
+    enum class connect_outcome { connected, refused, timed_out };
+    enum class settle_outcome { not_run, pending, unknown };
+
+    boost::asio::awaitable<connect_outcome> wait_connected(steady_time deadline);
+    void start_connecting();
+    boost::asio::awaitable<void> connect_and_read();
+    boost::asio::awaitable<bool> open_connection();
+    boost::asio::awaitable<void> read_frames(std::shared_ptr<frame_stream> stream);
+    boost::asio::awaitable<void> send_heartbeats(std::shared_ptr<frame_stream> stream);
+    void take_frame(wire::peer_frame frame);
+    void connection_ended();
+    pending_pointer add_pending(const std::string& key);
+    boost::asio::awaitable<settle_outcome> settle(const wire::forward_request& request,
+                                                  std::uint64_t incarnation, steady_time deadline);
+    boost::asio::awaitable<wire::forward_reply> await_reply(const wire::forward_request& request,
+                                                            steady_time deadline);
+    void send_cancel(const wire::forward_request& request);
+    void send_ack(const wire::forward_reply& reply);
+
+    peer_link_context context_;
+    std::string host_;
+    std::string address_;
+    std::shared_ptr<frame_stream> stream_;
+    std::uint64_t peer_incarnation_{0};
+    steady_time last_heard_;
+    bool connecting_{false};
+    bool refused_{false};
+    bool stopped_{false};
+    async_event connect_done_;
+    std::map<std::string, pending_pointer> pending_;
+};
+
+/// Keys by which replies find those who wait for them.
+[[nodiscard]] std::string forward_key(std::string_view id, std::uint32_t attempt);
+[[nodiscard]] std::string settle_key(std::string_view id, std::uint32_t attempt);
+[[nodiscard]] std::string token_key(std::uint64_t grant_id);
+[[nodiscard]] std::string call_key(std::uint64_t call);
+
+/// A reply that says only how the request ended and why.
+[[nodiscard]] wire::forward_reply make_reply(const wire::forward_request& request,
+                                             wire::forward_outcome outcome, reason why);
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/connection/peer_server.cpp
@@ -0,0 +1,90 @@
+#include "dandelionmount/connection/peer_server.h"
+
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/listen.h"
+#include "dandelionmount/process/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace dandelionmount {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Connections that have not shown the secret yet; more are closed at once, so strangers cost little.
+constexpr std::size_t most_strangers = 128;
+constexpr duration accept_pause = std::chrono::milliseconds(10);
+
+} // namespace
+
+peer_server::peer_server(asio::any_io_executor executor, const peer_identity& self, metrics& counters,
+                         peer_frame_handler handler)
+    : executor_(std::move(executor)), self_(self), counters_(counters), handler_(std::move(handler)),
+      acceptor_(executor_) {}
+
+result<void> peer_server::listen(std::string_view address) {
+    const auto opened = open_acceptor(acceptor_, address);
+    if (opened) {
+        asio::co_spawn(executor_, accept_connections(), asio::detached);
+    }
+    return opened;
+}
+
+void peer_server::stop() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    const auto streams = streams_;
+    for (const auto& stream : streams) {
+        stream->close();
+    }
+}
+
+asio::awaitable<void> peer_server::accept_connections() {
+    while (acceptor_.is_open()) {
+        auto [error, socket] = co_await acceptor_.async_accept(as_result);
+        if (error) {
+            co_await sleep_for(executor_, accept_pause);
+            continue;
+        }
+        if (strangers_ >= most_strangers) {
+            counters_.count(event::peer_strangers);
+            continue;
+        }
+        asio::co_spawn(executor_, serve(std::move(socket)), asio::detached);
+    }
+}
+
+// The task of one connection.
+asio::awaitable<void> peer_server::serve(tcp::socket socket) {
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto stream = std::make_shared<frame_stream>(std::move(socket));
+    ++strangers_;
+    const auto peer = co_await accept_handshake(*stream, self_);
+    --strangers_;
+    if (!peer) {
+        counters_.count(event::peer_strangers);
+        log_event(log_level::warning, "peer refused", {{"cause", peer.error().message}});
+        stream->close();
+        co_return;
+    }
+    counters_.count(event::peer_connections);
+    streams_.insert(stream);
+    while (true) {
+        const auto frame = co_await stream->read(most_frame_bytes);
+        if (!frame) {
+            break;
+        }
+        handler_(frame.value(), peer.value(), stream);
+    }
+    if (stream->was_malformed()) {
+        counters_.count(event::peer_malformed);
+    }
+    stream->close();
+    streams_.erase(stream);
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/connection/peer_server.h
@@ -0,0 +1,45 @@
+#ifndef DANDELIONMOUNT_CONNECTION_PEER_SERVER_H
+#define DANDELIONMOUNT_CONNECTION_PEER_SERVER_H
+
+#include "dandelionmount/connection/frame_stream.h"
+#include "dandelionmount/connection/peer_handshake.h"
+#include "dandelionmount/process/metrics.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace dandelionmount {
+
+/// Takes a frame that another host sent; answers go to the stream that it came on.
+using peer_frame_handler =
+    std::function<void(const wire::peer_frame&, const peer_name&, std::shared_ptr<frame_stream>)>;
+
+/// Accepts connections from other hosts and hands their frames on.
+class peer_server {
+public:
+    peer_server(boost::asio::any_io_executor executor, const peer_identity& self, metrics& counters,
+                peer_frame_handler handler);
+
+    /// Opens the port; fails with the system's message.
+    result<void> listen(std::string_view address);
+    /// Takes no new connection and closes those that are open.
+    void stop();
+
+private:
+    boost::asio::awaitable<void> accept_connections();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::any_io_executor executor_;
+    const peer_identity& self_;
+    metrics& counters_;
+    peer_frame_handler handler_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<frame_stream>> streams_;
+    std::size_t strangers_{0};
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/connection/target_server.cpp
@@ -0,0 +1,131 @@
+#include "dandelionmount/connection/target_server.h"
+
+#include "dandelionmount/process/crypto.h"
+
+#include <algorithm>
+
+namespace dandelionmount {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr duration refusal_return_time = std::chrono::seconds(1);
+constexpr std::string_view announce_path = "/announce";
+
+} // namespace
+
+target_server::target_server(target_server_context context, asio::any_io_executor executor,
+                             const caller_limits& limits)
+    : context_(std::move(context)),
+      server_(std::move(executor), limits, context_.counters,
+              [this](http_request request, std::shared_ptr<cancel_token> cancel) {
+                  return answer(std::move(request), std::move(cancel));
+              }) {}
+
+http_response target_server::refuse(reason why) {
+    context_.counters.refused(why);
+    return make_refusal(why, refusal_return_time);
+}
+
+asio::awaitable<http_response> target_server::answer(http_request request,
+                                                     std::shared_ptr<cancel_token> cancel) {
+    if (request.target() == boost::beast::string_view(announce_path.data(), announce_path.size())) {
+        co_return take_announcement(request);
+    }
+    auto response = co_await call(std::move(request), std::move(cancel));
+    co_return response;
+}
+
+http_response target_server::take_announcement(const http_request& request) {
+    constexpr unsigned no_content = 204;
+    if (request.method() == http::verb::delete_) {
+        context_.target.withdraw();
+        return make_text_answer(no_content, "text/plain", "");
+    }
+    const auto announcement = read_announcement(request.body());
+    if (request.method() != http::verb::put || !announcement) {
+        return refuse(reason::bad_request);
+    }
+    context_.target.announce(*announcement);
+    return make_text_answer(no_content, "text/plain", "");
+}
+
+// The call runs for the same client account, deadline and allowance as the request that the target names.
+dispatch_order target_server::make_order(const http_request& request, const route_settings& route,
+                                         const executor::execution_pointer& parent) const {
+    bool valid = true;
+    const auto asked = timeout_of(request, valid);
+    duration timeout = asked && valid ? std::chrono::milliseconds(*asked) : duration(route.timeout);
+    timeout = std::min<duration>(timeout, route.timeout_limit);
+    dispatch_order order;
+    order.deadline = context_.time.now() + timeout;
+    auto& forwarded = order.request;
+    forwarded.set_id(random_token());
+    forwarded.set_service(route.service);
+    forwarded.set_method(std::string(request.method_string()));
+    forwarded.set_path(std::string(request.target()));
+    forwarded.set_body(request.body());
+    forwarded.set_priority(route.priority);
+    forwarded.set_idempotent(route.idempotent);
+    forwarded.set_open(route.open);
+    copy_request_headers(request, forwarded);
+    if (parent != nullptr) {
+        order.deadline = std::min(order.deadline, parent->deadline);
+        forwarded.set_account(parent->request.account());
+        forwarded.set_key_id(parent->request.key_id());
+        // Work below a request is worth as much as the request itself.
+        forwarded.set_priority(std::max(route.priority, parent->request.priority()));
+    }
+    const std::uint32_t slice = parent == nullptr ? 0 : parent->allowance.take_slice();
+    order.allowance = std::make_shared<retry_allowance>(slice);
+    return order;
+}
+
+asio::awaitable<http_response> target_server::call(http_request request,
+                                                   std::shared_ptr<cancel_token> cancel) {
+    if (!context_.configuration.is_ready()) {
+        co_return refuse(reason::no_configuration);
+    }
+    const auto* route = find_route(context_.configuration.current(), std::string(request.target()));
+    if (route == nullptr) {
+        co_return refuse(reason::no_route);
+    }
+    const std::string token(request[std::string(request_header)]);
+    const auto parent = context_.running.find_running(token);
+    if (parent == nullptr && !route->open) {
+        co_return refuse(token.empty() ? reason::no_key : reason::unknown_context);
+    }
+    if (parent != nullptr && !route->open) {
+        const auto& allowed = route->accounts;
+        const auto& account = parent->request.account();
+        const bool listed = std::find(allowed.begin(), allowed.end(), account) != allowed.end();
+        if (context_.configuration.is_withdrawn(parent->request.key_id())) {
+            co_return refuse(reason::withdrawn_key);
+        }
+        if (account.empty() || (!allowed.empty() && !listed)) {
+            co_return refuse(reason::key_not_allowed);
+        }
+    }
+    dispatch_order order = make_order(request, *route, parent);
+    order.cancel = cancel;
+    if (parent != nullptr) {
+        parent->cancel->on_request([weak = std::weak_ptr<cancel_token>(cancel)] {
+            if (const auto child = weak.lock()) {
+                child->request();
+            }
+        });
+    }
+    const auto allowance = order.allowance;
+    const auto reply = co_await context_.requests.dispatch(std::move(order));
+    if (parent != nullptr) {
+        parent->allowance.give_back(allowance->left());
+    }
+    if (reply.outcome() != wire::ran) {
+        context_.counters.refused(reason_from_token(reply.reason()));
+    }
+    co_return make_answer(reply);
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/process/claim_service.h
@@ -0,0 +1,85 @@
+#ifndef DANDELIONMOUNT_PROCESS_CLAIM_SERVICE_H
+#define DANDELIONMOUNT_PROCESS_CLAIM_SERVICE_H
+
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/frame_stream.h"
+#include "dandelionmount/process/claim_store.h"
+#include "dandelionmount/process/configuration_store.h"
+#include "dandelionmount/process/membership.h"
+#include "dandelionmount/process/peer_directory.h"
+#include "dandelionmount/process/reason.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace dandelionmount {
+
+/// What a claim service needs of its process. All of it outlives the service.
+struct claim_service_context {
+    boost::asio::any_io_executor executor;
+    const time_source& time;
+    const configuration_store& configuration;
+    const member_table& members;
+    peer_directory& peers;
+};
+
+/// What a claim came to: the request may run, or it repeats one with an answer, or it is refused.
+struct claim_result {
+    bool granted{false};
+    /// Names the holder of a granted key, for recording the outcome.
+    std::string holder;
+    std::optional<wire::forward_reply> answer;
+    reason why{reason::none};
+};
+
+/// Lets one request run for each idempotency key, at whichever host its repeats arrive.
+///
+/// A key is recorded at a few host slots in different zones, and a request runs only when more than half of them
+/// have granted it the key. A process that is new in its slot grants no key before it has copied the records of
+/// its predecessor from all other hosts, or the window has passed in which records matter.
+class claim_service {
+public:
+    explicit claim_service(claim_service_context context);
+
+    /// Claims the key for a request, or waits for the request that holds it until the deadline.
+    boost::asio::awaitable<claim_result> claim(claim_name name, std::string fingerprint,
+                                               std::string request_id, steady_time deadline);
+    /// Records the outcome of a request that holds its key.
+    void finish(claim_name name, std::string holder, wire::forward_reply outcome);
+    /// Answers other hosts.
+    void answer(const wire::claim_request& ask, std::shared_ptr<frame_stream> stream);
+    void answer(const wire::claim_copy_request& ask, std::shared_ptr<frame_stream> stream);
+    void take(const wire::claim_finish& finish, std::shared_ptr<frame_stream> stream);
+    /// States that no earlier process was in this slot, so nothing can be missing.
+    void mark_first() { store_.complete = true; }
+    /// Copies records from the other hosts until they are complete; to be called every second or so.
+    boost::asio::awaitable<void> copy_records();
+    [[nodiscard]] bool is_complete() const { return store_.complete; }
+
+private:
+    struct tally {
+        std::size_t granted{0};
+        std::size_t answered{0};
+        bool running{false};
+        bool mismatch{false};
+        std::optional<wire::forward_reply> answer;
+    };
+    boost::asio::awaitable<tally> ask_owners(wire::claim_request ask, std::vector<std::string> owners);
+    boost::asio::awaitable<std::optional<wire::claim_reply>> ask_owner(wire::claim_request ask,
+                                                                       std::string slot);
+    boost::asio::awaitable<bool> copy_from(std::string host);
+    void send_finish(const wire::claim_finish& finish, const std::string& slot);
+    void release(const claim_name& name, const std::string& holder);
+    [[nodiscard]] std::optional<std::string> host_of(const std::string& slot) const;
+
+    claim_service_context context_;
+    claim_store store_;
+    steady_time started_;
+    std::uint64_t next_call_;
+    bool copying_{false};
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/clock.h
@@ -0,0 +1,47 @@
+#ifndef DANDELIONMOUNT_PROCESS_CLOCK_H
+#define DANDELIONMOUNT_PROCESS_CLOCK_H
+
+#include <chrono>
+
+namespace dandelionmount {
+
+using steady_time = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+
+/// Source of time for every decision, so that tests can move it.
+class time_source {
+public:
+    time_source() = default;
+    time_source(const time_source&) = delete;
+    time_source& operator=(const time_source&) = delete;
+    virtual ~time_source() = default;
+    /// Monotonic time; never steps.
+    [[nodiscard]] virtual steady_time now() const = 0;
+};
+
+/// The clock of this host.
+class system_time_source : public time_source {
+public:
+    [[nodiscard]] steady_time now() const override;
+};
+
+/// A clock that moves only when told to.
+class manual_time_source : public time_source {
+public:
+    [[nodiscard]] steady_time now() const override { return now_; }
+    void advance(duration by) { now_ += by; }
+
+private:
+    steady_time now_{std::chrono::hours{1}};
+};
+
+/// Seconds as a floating point number.
+[[nodiscard]] double to_seconds(duration value);
+/// A duration of that many seconds.
+[[nodiscard]] duration from_seconds(double seconds);
+/// Whole milliseconds, rounded down, never negative.
+[[nodiscard]] std::uint32_t to_milliseconds(duration value);
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/configuration_store.h
@@ -0,0 +1,75 @@
+#ifndef DANDELIONMOUNT_PROCESS_CONFIGURATION_STORE_H
+#define DANDELIONMOUNT_PROCESS_CONFIGURATION_STORE_H
+
+#include "dandelionmount/process/clock.h"
+#include "dandelionmount/version/configuration_state.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionmount {
+
+/// Whose key it is.
+struct key_owner {
+    std::string account;
+    std::string key_id;
+};
+
+/// The configuration that is in force in this process, and the keys withdrawn besides. Its version only rises.
+class configuration_store {
+public:
+    /// `zones` counts until the configuration names zones itself.
+    configuration_store(std::vector<zone_settings> zones, const time_source& time);
+
+    [[nodiscard]] const configuration_state& state() const { return state_; }
+    [[nodiscard]] const configuration& current() const { return state_.document; }
+    /// Whether there is a configuration to serve by.
+    [[nodiscard]] bool is_ready() const { return state_.document_version > 0; }
+    [[nodiscard]] std::span<const zone_settings> zones() const;
+    [[nodiscard]] const zone_settings* find_zone(std::string_view name) const;
+
+    /// Puts a later state in force; an earlier or equal one is left alone.
+    void adopt(configuration_state state);
+    /// Applies log records from `first_offset` on; false when records before them are missing.
+    bool apply_records(std::uint64_t first_offset, std::span<const std::string> records);
+    /// Recent log records from an offset on; nothing when they are not all here.
+    [[nodiscard]] std::optional<std::vector<std::string>> records_from(std::uint64_t offset) const;
+    /// Called after each change.
+    void on_change(std::function<void()> action) { actions_.push_back(std::move(action)); }
+
+    [[nodiscard]] std::optional<key_owner> find_key(std::string_view key_hash) const;
+    [[nodiscard]] bool is_withdrawn(std::string_view key_id) const;
+    /// Withdraws a key that the log does not name yet; false when it was withdrawn already.
+    bool withdraw(std::string_view key_id);
+    /// Withdrawn keys that the log does not name yet.
+    [[nodiscard]] const std::set<std::string, std::less<>>& pending_withdrawals() const { return pending_; }
+
+    /// Notes that the platform or another availability zone was heard.
+    void note_contact() { last_contact_ = time_.now(); }
+    /// Whether the zone has been cut off for too long to serve that account.
+    [[nodiscard]] bool is_isolated(const account_settings* account) const;
+
+private:
+    void index_keys();
+
+    std::vector<zone_settings> zones_;
+    const time_source& time_;
+    configuration_state state_;
+    std::map<std::string, key_owner, std::less<>> keys_;
+    std::set<std::string, std::less<>> pending_;
+    std::vector<std::function<void()>> actions_;
+    /// The records just before the state's next offset.
+    std::deque<std::string> recent_records_;
+    steady_time last_contact_;
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/crypto.h
@@ -0,0 +1,28 @@
+#ifndef DANDELIONMOUNT_PROCESS_CRYPTO_H
+#define DANDELIONMOUNT_PROCESS_CRYPTO_H
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace dandelionmount {
+
+/// SHA-256 of the text as lower-case hexadecimal.
+[[nodiscard]] std::string sha256_hex(std::string_view text);
+/// HMAC-SHA256 as 32 raw bytes.
+[[nodiscard]] std::string hmac_sha256(std::string_view secret, std::string_view text);
+/// Compares in constant time, so that an attacker learns nothing from how long it takes.
+[[nodiscard]] bool equal_secrets(std::string_view left, std::string_view right);
+/// That many bytes from the system's cryptographic generator.
+[[nodiscard]] std::string random_bytes(std::size_t count);
+/// An unguessable token of 32 hexadecimal digits.
+[[nodiscard]] std::string random_token();
+/// A random 64-bit number, never zero.
+[[nodiscard]] std::uint64_t random_number();
+/// Lower-case hexadecimal of raw bytes.
+[[nodiscard]] std::string to_hex(std::string_view bytes);
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/local_target.cpp
@@ -0,0 +1,98 @@
+#include "dandelionmount/process/local_target.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace dandelionmount {
+
+namespace {
+
+constexpr std::uint64_t most_port = 65535;
+constexpr std::uint64_t most_slots = 100000;
+
+std::optional<wire::target_state> read_state(const std::string& text) {
+    if (text == "starting") {
+        return wire::target_starting;
+    }
+    if (text == "ready") {
+        return wire::target_ready;
+    }
+    if (text == "draining") {
+        return wire::target_draining;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> read_number(const nlohmann::json& source, const char* key, std::uint64_t most) {
+    const auto found = source.find(key);
+    if (found == source.end() || !found->is_number_unsigned() || found->get<std::uint64_t>() > most) {
+        return std::nullopt;
+    }
+    return found->get<std::uint64_t>();
+}
+
+} // namespace
+
+void local_target::announce(const target_announcement& announcement) {
+    heard_ = time_.now();
+    const bool changed = announcement.service != announced_.service || announcement.port != announced_.port ||
+                         announcement.slots != announced_.slots || announcement.state != announced_.state;
+    announced_ = announcement;
+    set_ceiling(guard_, announcement.slots);
+    if (changed && action_) {
+        action_();
+    }
+}
+
+void local_target::withdraw() {
+    if (announced_.state == wire::target_none) {
+        return;
+    }
+    announced_ = {};
+    if (action_) {
+        action_();
+    }
+}
+
+void local_target::check_silence() {
+    if (announced_.state != wire::target_none && time_.now() - heard_ > announcement_life) {
+        withdraw();
+    }
+}
+
+bool local_target::is_ready_for(std::string_view service) const {
+    return announced_.state == wire::target_ready && announced_.service == service;
+}
+
+wire::load_report local_target::load() const {
+    wire::load_report load;
+    load.set_in_flight(guard_.in_flight);
+    load.set_queued(static_cast<std::uint32_t>(guard_.queue.size));
+    load.set_limit(static_cast<std::uint32_t>(std::floor(guard_.limit)));
+    load.set_admission_level(guard_.admission_level);
+    return load;
+}
+
+std::optional<target_announcement> read_announcement(std::string_view text) {
+    const auto source = nlohmann::json::parse(text, nullptr, false);
+    if (!source.is_object() || !source.contains("service") || !source["service"].is_string() ||
+        !source.contains("state") || !source["state"].is_string()) {
+        return std::nullopt;
+    }
+    const auto state = read_state(source["state"].get<std::string>());
+    const auto port = read_number(source, "port", most_port);
+    const auto slots = read_number(source, "slots", most_slots);
+    const auto connections = read_number(source, "connections", most_slots);
+    if (!state || !port || *port == 0 || !slots || *slots == 0) {
+        return std::nullopt;
+    }
+    target_announcement announcement;
+    announcement.service = source["service"].get<std::string>();
+    announcement.port = static_cast<std::uint16_t>(*port);
+    announcement.slots = static_cast<std::uint32_t>(*slots);
+    announcement.connections = static_cast<std::uint32_t>(connections.value_or(*slots));
+    announcement.state = *state;
+    return announcement;
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/process/local_target.h
@@ -0,0 +1,58 @@
+#ifndef DANDELIONMOUNT_PROCESS_LOCAL_TARGET_H
+#define DANDELIONMOUNT_PROCESS_LOCAL_TARGET_H
+
+#include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/target_guard.h"
+#include "dandelionmount/wire/peer.pb.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace dandelionmount {
+
+/// What a target says of itself.
+struct target_announcement {
+    std::string service;
+    std::uint16_t port{0};
+    std::uint32_t slots{0};
+    std::uint32_t connections{0};
+    wire::target_state state{wire::target_none};
+};
+
+/// A target that is silent for this long counts as gone.
+constexpr duration announcement_life = std::chrono::milliseconds(2000);
+
+/// The target of this host, as it announced itself.
+class local_target {
+public:
+    explicit local_target(const time_source& time) : time_(time) {}
+
+    void announce(const target_announcement& announcement);
+    void withdraw();
+    /// Withdraws the target when it has been silent for too long.
+    void check_silence();
+    /// Called when the service, the state or the slots change.
+    void on_change(std::function<void()> action) { action_ = std::move(action); }
+
+    [[nodiscard]] const target_announcement& announced() const { return announced_; }
+    [[nodiscard]] bool is_ready_for(std::string_view service) const;
+    [[nodiscard]] target_guard& guard() { return guard_; }
+    [[nodiscard]] wire::load_report load() const;
+
+private:
+    const time_source& time_;
+    target_announcement announced_;
+    steady_time heard_;
+    target_guard guard_;
+    std::function<void()> action_;
+};
+
+/// Reads the JSON of an announcement; nothing when it is not one.
+[[nodiscard]] std::optional<target_announcement> read_announcement(std::string_view text);
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/metrics.h
@@ -0,0 +1,89 @@
+#ifndef DANDELIONMOUNT_PROCESS_METRICS_H
+#define DANDELIONMOUNT_PROCESS_METRICS_H
+
+#include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/reason.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdint>
+#include <string>
+
+namespace dandelionmount {
+
+/// Durations with their count, sum, maximum, median and 99th percentile.
+class duration_summary {
+public:
+    duration_summary();
+    void add(duration value);
+    /// Adds the summary in Prometheus text form, in seconds.
+    void render(std::string& text, std::string_view name) const;
+
+private:
+    using statistics =
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                   boost::accumulators::tag::max,
+                                   boost::accumulators::tag::extended_p_square>;
+    boost::accumulators::accumulator_set<double, statistics> values_;
+};
+
+/// Events counted since the process started, but for the reasons.
+enum class event {
+    caller_connections,
+    caller_requests,
+    answers,
+    outcomes_unknown,
+    attempts,
+    target_calls,
+    settle_questions,
+    settle_proved,
+    cancels,
+    duplicate_requests_joined,
+    peer_connections,
+    peer_strangers,
+    peer_malformed,
+    datagrams_sent,
+    datagrams_received,
+    datagram_bytes_sent,
+    datagrams_rejected,
+    token_requests,
+    tokens_granted,
+    log_appends,
+    log_failures,
+    configuration_changes,
+    members_declared_dead,
+    count_
+};
+
+constexpr std::size_t event_count = static_cast<std::size_t>(event::count_);
+
+/// All counters of one process.
+class metrics {
+public:
+    void refused(reason why);
+    void retried(reason why);
+    void count(event what, std::uint64_t by = 1);
+    [[nodiscard]] std::uint64_t refusals(reason why) const;
+    [[nodiscard]] std::uint64_t retries(reason why) const;
+    [[nodiscard]] std::uint64_t counted(event what) const;
+    duration_summary& request_time() { return request_time_; }
+    duration_summary& target_time() { return target_time_; }
+    /// Prometheus text format.
+    [[nodiscard]] std::string render() const;
+
+private:
+    std::array<std::uint64_t, reason_count> refusals_{};
+    std::array<std::uint64_t, reason_count> retries_{};
+    std::array<std::uint64_t, event_count> events_{};
+    duration_summary request_time_;
+    duration_summary target_time_;
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/node.cpp
@@ -0,0 +1,212 @@
+#include "dandelionmount/process/node.h"
+
+#include "dandelionmount/connection/address.h"
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/process/crypto.h"
+#include "dandelionmount/process/logging.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace dandelionmount {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration upkeep_interval = std::chrono::milliseconds(100);
+// How long a stopping host still takes callers' requests, for those sent before they could know.
+constexpr duration stop_grace = std::chrono::milliseconds(700);
+constexpr duration quiet_poll = std::chrono::milliseconds(10);
+constexpr int upkeep_rounds_of_second = 10;
+
+// Later processes have higher numbers, so the clock of a host must not go back behind its predecessor's start.
+std::uint64_t make_incarnation() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+wire::member_record make_own_record(const settings& own, std::uint64_t incarnation) {
+    wire::member_record record;
+    record.set_host(own.host);
+    record.set_incarnation(incarnation);
+    record.set_counter(1);
+    record.set_zone(own.zone);
+    record.set_slot(own.slot);
+    record.set_address(own.peer_address);
+    return record;
+}
+
+} // namespace
+
+node::node(asio::io_context& io, const settings& own, std::string secret, platform_log& log,
+           const time_source& time)
+    : io_(io), settings_(own), time_(time), random_(random_number()),
+      identity_{own.host, make_incarnation(), std::move(secret)},
+      members_{make_own_record(own, identity_.incarnation)}, lease_{identity_.incarnation},
+      configuration_(own.zones, time), target_(time),
+      peers_({io.get_executor(), identity_, time, counters_}, members_),
+      connections_(io.get_executor(), time, own.limits.body_bytes),
+      executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
+                 parse_address(own.target_address)->ip}),
+      dispatcher_({time, counters_, configuration_, members_, peers_, executor_, random_}),
+      rates_({io.get_executor(), time, counters_, configuration_, members_, peers_, lease_}),
+      claims_({io.get_executor(), time, configuration_, members_, peers_}),
+      gossip_({io.get_executor(), time, counters_, identity_, members_, lease_, configuration_, random_,
+               own.seeds}),
+      log_reader_({io.get_executor(), time, counters_, log, configuration_, members_, peers_, lease_, claims_,
+                   random_}),
+      operator_service_({time, counters_, configuration_, members_, lease_, gossip_, log_reader_, claims_,
+                         target_, [this](bool on) {
+                             draining_ = on;
+                             publish_target();
+                         }},
+                        rpc_connector_),
+      peer_server_(io.get_executor(), identity_, counters_,
+                   [this](const wire::peer_frame& frame, const peer_name& from,
+                          std::shared_ptr<frame_stream> stream) {
+                       handle_frame(frame, from, std::move(stream));
+                   }),
+      caller_server_({time, counters_, configuration_, rates_, claims_, dispatcher_}, io.get_executor(),
+                     own.limits),
+      target_server_({time, counters_, configuration_, target_, executor_, dispatcher_}, io.get_executor(),
+                     own.limits),
+      operator_server_(io.get_executor(), own.limits, counters_, rpc_connector_,
+                       [this] { return operator_service_.status_text(); }) {
+    target_.on_change([this] { publish_target(); });
+    gossip_.on_later_configuration([this](const std::string& host) { log_reader_.fetch_from(host); });
+    gossip_.on_member_change([this] { peers_.forget_gone(); });
+    configuration_.on_change([this] {
+        choose_own_witnesses();
+        gossip_.spread_soon();
+    });
+    choose_own_witnesses();
+}
+
+result<void> node::start() {
+    for (const auto& opened :
+         {peer_server_.listen(settings_.peer_address), gossip_.listen(settings_.peer_address),
+          operator_server_.listen(settings_.operator_address),
+          target_server_.listen(settings_.target_address),
+          caller_server_.listen(settings_.caller_address)}) {
+        if (!opened) {
+            return opened;
+        }
+    }
+    log_reader_.start();
+    asio::co_spawn(io_, run_upkeep(), asio::detached);
+    log_event(log_level::info, "started",
+              {{"host", settings_.host}, {"zone", settings_.zone}, {"callers", settings_.caller_address}});
+    return boost::outcome_v2::success();
+}
+
+void node::choose_own_witnesses() {
+    const auto* zone = configuration_.find_zone(settings_.zone);
+    const std::uint32_t slots = zone == nullptr ? settings_.slot + 1 : zone->hosts;
+    lease_.witnesses = choose_witnesses(settings_.zone, settings_.slot, slots);
+}
+
+void node::publish_target() {
+    const auto& announced = target_.announced();
+    auto& record = members_.self;
+    record.set_service(announced.service);
+    record.set_target_slots(announced.slots);
+    const bool leaving = (draining_ || stopping_) && announced.state != wire::target_none;
+    record.set_target(leaving ? wire::target_draining : announced.state);
+    connections_.forget_idle();
+    announce_self(members_);
+    gossip_.spread_soon();
+}
+
+void node::handle_frame(const wire::peer_frame& frame, const peer_name& from,
+                        std::shared_ptr<frame_stream> stream) {
+    switch (frame.body_case()) {
+    case wire::peer_frame::kForwardRequest:
+        executor_.accept(frame.forward_request(), std::move(stream));
+        break;
+    case wire::peer_frame::kCancelRequest:
+        executor_.cancel(frame.cancel_request());
+        break;
+    case wire::peer_frame::kSettleRequest:
+        executor_.settle(frame.settle_request(), std::move(stream));
+        break;
+    case wire::peer_frame::kReplyAck:
+        executor_.acknowledge(frame.reply_ack());
+        break;
+    case wire::peer_frame::kHeartbeat:
+        stream->send(frame);
+        break;
+    case wire::peer_frame::kTokenRequest:
+        rates_.answer(frame.token_request(), from, std::move(stream));
+        break;
+    case wire::peer_frame::kClaimRequest:
+        claims_.answer(frame.claim_request(), std::move(stream));
+        break;
+    case wire::peer_frame::kClaimFinish:
+        claims_.take(frame.claim_finish(), std::move(stream));
+        break;
+    case wire::peer_frame::kClaimCopyRequest:
+        claims_.answer(frame.claim_copy_request(), std::move(stream));
+        break;
+    case wire::peer_frame::kStateRequest: {
+        wire::peer_frame reply;
+        *reply.mutable_state_reply() = log_reader_.answer(frame.state_request());
+        stream->send(reply);
+        break;
+    }
+    default:
+        counters_.count(event::peer_malformed);
+        stream->close();
+        break;
+    }
+}
+
+asio::awaitable<void> node::run_upkeep() {
+    for (int round = 1; !stopping_; ++round) {
+        co_await sleep_for(io_.get_executor(), upkeep_interval);
+        target_.check_silence();
+        update_level(target_.guard(), time_.now());
+        rates_.report();
+        if (round % upkeep_rounds_of_second == 0) {
+            executor_.forget_old();
+            co_await claims_.copy_records();
+        }
+    }
+}
+
+asio::awaitable<void> node::wait_until_quiet(steady_time deadline) {
+    const auto busy = [this] {
+        return executor_.busy() + caller_server_.server().busy() + target_server_.server().busy();
+    };
+    while (busy() > 0 && time_.now() < deadline) {
+        co_await sleep_for(io_.get_executor(), quiet_poll);
+    }
+}
+
+asio::awaitable<void> node::stop() {
+    log_event(log_level::info, "stopping", {{"host", settings_.host}});
+    stopping_ = true;
+    const auto deadline = time_.now() + settings_.stop_wait;
+    // Peers hear first that no new work should come; what still arrives is refused as not run, and they send it
+    // to another host.
+    publish_target();
+    gossip_.probe_all();
+    caller_server_.server().drain();
+    executor_.drain();
+    co_await sleep_for(io_.get_executor(), stop_grace);
+    co_await wait_until_quiet(deadline);
+    caller_server_.server().close_idle();
+    members_.self.set_state(wire::member_left);
+    announce_self(members_);
+    gossip_.probe_all();
+    co_await sleep_for(io_.get_executor(), quiet_poll);
+    log_reader_.stop();
+    log_event(log_level::info, "stopped", {{"host", settings_.host}});
+    gossip_.stop();
+    peer_server_.stop();
+    peers_.stop();
+    io_.stop();
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/process/node.h
@@ -0,0 +1,77 @@
+#ifndef DANDELIONMOUNT_PROCESS_NODE_H
+#define DANDELIONMOUNT_PROCESS_NODE_H
+
+#include "dandelionmount/connection/caller_server.h"
+#include "dandelionmount/connection/operator_server.h"
+#include "dandelionmount/connection/peer_server.h"
+#include "dandelionmount/connection/target_server.h"
+#include "dandelionmount/process/claim_service.h"
+#include "dandelionmount/process/configuration_store.h"
+#include "dandelionmount/process/gossip_service.h"
+#include "dandelionmount/process/local_target.h"
+#include "dandelionmount/process/log_reader.h"
+#include "dandelionmount/process/membership.h"
+#include "dandelionmount/process/metrics.h"
+#include "dandelionmount/process/operator_service.h"
+#include "dandelionmount/process/peer_directory.h"
+#include "dandelionmount/process/rate_service.h"
+#include "dandelionmount/process/settings.h"
+#include "dandelionmount/request/dispatcher.h"
+#include "dandelionmount/request/executor.h"
+
+#include <boost/asio/io_context.hpp>
+#include <random>
+
+namespace dandelionmount {
+
+/// Everything that one daemon consists of.
+class node {
+public:
+    node(boost::asio::io_context& io, const settings& own, std::string secret, platform_log& log,
+         const time_source& time);
+
+    /// Opens all ports and starts; fails with the system's message.
+    result<void> start();
+    /// Stops without cutting off any request: tells the peers, finishes what runs, and leaves. The context runs
+    /// out of work when it is done.
+    boost::asio::awaitable<void> stop();
+
+private:
+    void handle_frame(const wire::peer_frame& frame, const peer_name& from,
+                      std::shared_ptr<frame_stream> stream);
+    boost::asio::awaitable<void> run_upkeep();
+    boost::asio::awaitable<void> wait_until_quiet(steady_time deadline);
+    void publish_target();
+    void choose_own_witnesses();
+
+    boost::asio::io_context& io_;
+    settings settings_;
+    const time_source& time_;
+    std::mt19937_64 random_;
+    metrics counters_;
+    peer_identity identity_;
+    member_table members_;
+    slot_lease lease_;
+    configuration_store configuration_;
+    local_target target_;
+    peer_directory peers_;
+    target_connections connections_;
+    executor executor_;
+    dispatcher dispatcher_;
+    rate_service rates_;
+    claim_service claims_;
+    gossip_service gossip_;
+    log_reader log_reader_;
+    rpc_connector rpc_connector_;
+    operator_service operator_service_;
+    peer_server peer_server_;
+    caller_server caller_server_;
+    target_server target_server_;
+    operator_server operator_server_;
+    bool draining_{false};
+    bool stopping_{false};
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/rate_service.h
@@ -0,0 +1,90 @@
+#ifndef DANDELIONMOUNT_PROCESS_RATE_SERVICE_H
+#define DANDELIONMOUNT_PROCESS_RATE_SERVICE_H
+
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/frame_stream.h"
+#include "dandelionmount/connection/peer_handshake.h"
+#include "dandelionmount/process/configuration_store.h"
+#include "dandelionmount/process/membership.h"
+#include "dandelionmount/process/metrics.h"
+#include "dandelionmount/process/peer_directory.h"
+#include "dandelionmount/process/slot_lease.h"
+#include "dandelionmount/process/token_share.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionmount {
+
+/// What a rate service needs of its process. All of it outlives the service.
+struct rate_service_context {
+    boost::asio::any_io_executor executor;
+    const time_source& time;
+    metrics& counters;
+    const configuration_store& configuration;
+    const member_table& members;
+    peer_directory& peers;
+    const slot_lease& lease;
+};
+
+/// Admits requests within each client account's rate and burst over all hosts together.
+///
+/// Tokens are kept as shares by a few host slots of each zone. A host spends tokens that it has been granted; it
+/// asks the keepers of its own zone first and those of other zones for the rest.
+class rate_service {
+public:
+    explicit rate_service(rate_service_context context);
+
+    /// Spends one token of the account, asking for it when there is none here; false when the account is over its
+    /// rate.
+    boost::asio::awaitable<bool> admit(std::string account);
+    /// Answers another host that asks for tokens of a share kept here.
+    void answer(const wire::token_request& ask, const peer_name& from, std::shared_ptr<frame_stream> stream);
+    /// When a caller that was refused should come back.
+    [[nodiscard]] duration return_time(std::string_view account) const;
+    /// Reports what was spent and gives back what lies unused; called several times a second.
+    void report();
+
+private:
+    struct account_demand {
+        explicit account_demand(const boost::asio::any_io_executor& executor) : fetched(executor) {}
+        token_wallet wallet;
+        async_event fetched;
+        bool fetching{false};
+        double waiting{0};
+        /// Requests admitted each second, recent ones weighing most.
+        double rate{0};
+        steady_time last_admitted;
+        /// Before this time a fetch would bring nothing.
+        steady_time empty_until;
+    };
+
+    account_demand& demand_of(const std::string& account);
+    [[nodiscard]] bool spend(const std::string& account, account_demand& demand);
+    void note_admitted(account_demand& demand);
+    void prefetch(const std::string& account, account_demand& demand);
+    void start_fetch(const std::string& account, account_demand& demand);
+    boost::asio::awaitable<void> fetch(std::string account);
+    boost::asio::awaitable<void> ask_hosts(std::string account, std::vector<std::string> hosts,
+                                           double missing, bool in_parts);
+    void ask_self(const std::string& account, double wanted, std::uint64_t grant_id);
+    boost::asio::awaitable<void> ask_keeper(std::string account, std::string host, double wanted);
+    [[nodiscard]] wire::peer_frame make_request(const std::string& account, const std::string& host,
+                                                double wanted, std::uint64_t grant_id);
+    [[nodiscard]] std::vector<std::string> keeper_hosts(std::string_view account, std::string_view zone);
+    /// The share of the account that this host's slot keeps; nullptr when it keeps none or must not use it.
+    [[nodiscard]] kept_share* own_share(const std::string& account);
+
+    rate_service_context context_;
+    std::map<std::string, std::unique_ptr<account_demand>> demands_;
+    std::map<std::string, kept_share> shares_;
+    std::uint64_t next_grant_;
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/settings.cpp
@@ -0,0 +1,180 @@
+#include "dandelionmount/process/settings.h"
+
+#include "dandelionmount/connection/address.h"
+
+namespace dandelionmount {
+
+namespace {
+
+constexpr std::int64_t most_slot = 9999;
+constexpr std::int64_t most_hosts_of_zone = 10000;
+constexpr std::int64_t most_bytes = 64 * 1024 * 1024;
+constexpr std::int64_t most_connections = 100000;
+constexpr std::int64_t most_wait_ms = 3600000;
+
+// Reads the sections of one settings file.
+class settings_reader {
+public:
+    settings_reader(const toml::table& root, std::string_view file, settings_outcome& outcome)
+        : root_(root), file_(file), errors_(outcome.errors) {}
+
+    settings read() {
+        settings value;
+        read_host(value);
+        read_platform(value);
+        read_fleet(value);
+        read_zones(value);
+        read_limits(value);
+        read_log(value);
+        check_sections();
+        return value;
+    }
+
+private:
+    // An absent section reads as an empty one, so that each missing key is named.
+    const toml::table& section(std::string_view name) {
+        static const toml::table empty;
+        const toml::node* node = root_.get(name);
+        if (node == nullptr) {
+            return empty;
+        }
+        if (!node->is_table()) {
+            errors_.push_back(
+                {std::string(file_), node->source().begin.line, std::string(name), "a table"});
+            return empty;
+        }
+        return *node->as_table();
+    }
+
+    void need_text(table_reader& reader, std::string_view key, std::string& target) {
+        const std::size_t errors_before = errors_.size();
+        const auto value = reader.text(key);
+        if (value) {
+            target = *value;
+        } else if (errors_.size() == errors_before) {
+            reader.report(key, "needed here");
+        }
+    }
+
+    void need_address(table_reader& reader, std::string_view key, std::string& target) {
+        const std::size_t errors_before = errors_.size();
+        need_text(reader, key, target);
+        if (errors_.size() == errors_before && !is_address(target)) {
+            reader.report(key, "an IP address, a colon and a port");
+        }
+    }
+
+    void read_host(settings& value) {
+        table_reader reader(section("host"), file_, "host", errors_);
+        need_text(reader, "name", value.host);
+        need_text(reader, "zone", value.zone);
+        value.slot = static_cast<std::uint32_t>(reader.whole("slot", 0, most_slot).value_or(0));
+        need_address(reader, "caller_address", value.caller_address);
+        need_address(reader, "peer_address", value.peer_address);
+        need_address(reader, "target_address", value.target_address);
+        need_address(reader, "operator_address", value.operator_address);
+        const auto stop_wait = reader.whole("stop_wait_ms", 0, most_wait_ms);
+        value.stop_wait = std::chrono::milliseconds(stop_wait.value_or(value.stop_wait.count()));
+        reader.finish();
+    }
+
+    void read_platform(settings& value) {
+        table_reader reader(section("platform"), file_, "platform", errors_);
+        need_address(reader, "log_address", value.platform_address);
+        reader.finish();
+    }
+
+    void read_fleet(settings& value) {
+        table_reader reader(section("fleet"), file_, "fleet", errors_);
+        need_text(reader, "secret_file", value.secret_file);
+        value.seeds = reader.texts("seeds").value_or(std::vector<std::string>{});
+        for (const auto& seed : value.seeds) {
+            if (!is_address(seed)) {
+                reader.report("seeds", "a list of texts, each an IP address, a colon and a port");
+            }
+        }
+        reader.finish();
+    }
+
+    void read_zones(settings& value) {
+        const toml::node* node = root_.get("zone");
+        if (node == nullptr) {
+            return;
+        }
+        const toml::array* array = node->as_array();
+        if (array == nullptr || !array->is_array_of_tables()) {
+            errors_.push_back({std::string(file_), node->source().begin.line, "zone",
+                               "a list of tables, written [[zone]]"});
+            return;
+        }
+        for (const auto& element : *array) {
+            table_reader reader(*element.as_table(), file_, "zone", errors_);
+            zone_settings zone;
+            need_text(reader, "name", zone.name);
+            zone.hosts =
+                static_cast<std::uint32_t>(reader.whole("hosts", 1, most_hosts_of_zone).value_or(1));
+            reader.finish();
+            value.zones.push_back(zone);
+        }
+    }
+
+    void read_limits(settings& value) {
+        caller_limits& limits = value.limits;
+        table_reader reader(section("limits"), file_, "limits", errors_);
+        const auto header = reader.whole("header_bytes", 256, most_bytes);
+        const auto body = reader.whole("body_bytes", 0, most_bytes);
+        const auto connections = reader.whole("connections", 1, most_connections);
+        const auto idle = reader.whole("idle_ms", 1, most_wait_ms);
+        const auto receive = reader.whole("receive_ms", 1, most_wait_ms);
+        reader.finish();
+        limits.header_bytes = static_cast<std::uint32_t>(header.value_or(limits.header_bytes));
+        limits.body_bytes = static_cast<std::uint32_t>(body.value_or(limits.body_bytes));
+        limits.connections = static_cast<std::uint32_t>(connections.value_or(limits.connections));
+        limits.idle = std::chrono::milliseconds(idle.value_or(limits.idle.count()));
+        limits.receive = std::chrono::milliseconds(receive.value_or(limits.receive.count()));
+    }
+
+    void read_log(settings& value) {
+        table_reader reader(section("log"), file_, "log", errors_);
+        value.log_level = reader.text("level").value_or(value.log_level);
+        static const std::set<std::string_view> levels = {"debug", "info", "warning", "error"};
+        if (!levels.contains(value.log_level)) {
+            reader.report("level", "debug, info, warning or error");
+        }
+        reader.finish();
+    }
+
+    void check_sections() {
+        static const std::set<std::string_view> known = {"host", "platform", "fleet",
+                                                         "zone", "limits",   "log"};
+        for (const auto& [key, node] : root_) {
+            if (!known.contains(key.str())) {
+                errors_.push_back({std::string(file_), node.source().begin.line, std::string(key.str()),
+                                   "one of host, platform, fleet, zone, limits, log"});
+            }
+        }
+    }
+
+    const toml::table& root_;
+    std::string_view file_;
+    std::vector<file_error>& errors_;
+};
+
+} // namespace
+
+settings_outcome read_settings(const configuration_file& file) {
+    settings_outcome outcome;
+    const auto root = parse_toml(file.text, file.name, outcome.errors);
+    if (!root) {
+        return outcome;
+    }
+    settings value = settings_reader(*root, file.name, outcome).read();
+    if (outcome.errors.empty()) {
+        outcome.value = std::move(value);
+    }
+    return outcome;
+}
+
+bool is_address(std::string_view text) { return parse_address(text).has_value(); }
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -0,0 +1,138 @@
+#include "dandelionmount/request/dispatcher.h"
+
+#include "dandelionmount/connection/peer_link.h"
+
+#include <algorithm>
+
+namespace dandelionmount {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Attempts that met a leaving host or target and ran nothing may be repeated elsewhere without using the
+// allowance; more than this would only follow a fleet that stops as a whole.
+constexpr std::uint32_t most_redirects = 3;
+// With less time than this left another attempt is not worth its cost.
+constexpr duration least_attempt_time = std::chrono::milliseconds(5);
+constexpr duration overload_return_time = std::chrono::seconds(1);
+constexpr std::uint32_t server_errors = 500;
+
+// The worker is leaving or gone; the request has nothing to do with it.
+bool is_redirect(reason why) {
+    return why == reason::host_stopping || why == reason::target_draining || why == reason::no_target ||
+           why == reason::target_refused || why == reason::peer_unreachable;
+}
+
+bool is_final(reason why) {
+    return why == reason::withdrawn_key || why == reason::caller_gone || why == reason::expired_in_queue ||
+           why == reason::already_running;
+}
+
+bool is_good(const wire::forward_reply& reply) {
+    const bool ran_well = reply.outcome() == wire::ran && reply.status() < server_errors;
+    const reason why = reason_from_token(reply.reason());
+    const bool shed = reply.outcome() == wire::not_run && !is_redirect(why) && why != reason::peer_lost;
+    return ran_well || shed || why == reason::caller_gone || why == reason::deadline;
+}
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_context context) : context_(std::move(context)) {}
+
+double dispatcher::budget_share(const std::string& service) const {
+    const auto* settings = find_service(context_.configuration.current(), service);
+    return settings == nullptr ? 0 : settings->retry_budget;
+}
+
+asio::awaitable<wire::forward_reply> dispatcher::dispatch(dispatch_order order) {
+    const std::string service = order.request.service();
+    budgets_[service].note_first_attempt(budget_share(service));
+    std::vector<std::string> tried;
+    std::uint32_t redirects = 0;
+    auto reply = make_reply(order.request, wire::not_run, reason::no_target);
+    for (std::uint32_t number = 1;; ++number) {
+        const choice_context context{service, context_.members.self.zone(), order.request.priority(), tried,
+                                     context_.time.now()};
+        const auto choice = choose_worker(context, context_.members, workers_, context_.random);
+        if (choice.host.empty()) {
+            // After an attempt its own outcome says more than that there is no other worker.
+            if (number == 1) {
+                reply = make_reply(order.request, wire::not_run, choice.why);
+                reply.set_retry_after_ms(to_milliseconds(overload_return_time));
+            }
+            co_return reply;
+        }
+        reply = co_await attempt(order, choice.host, number);
+        const reason retried = may_retry(order, reply, redirects);
+        if (retried == reason::none) {
+            co_return reply;
+        }
+        context_.counters.retried(retried);
+        tried.push_back(choice.host);
+    }
+}
+
+asio::awaitable<wire::forward_reply> dispatcher::attempt(const dispatch_order& order, std::string host,
+                                                         std::uint32_t number) {
+    wire::forward_request request = order.request;
+    request.set_attempt(number);
+    request.set_remaining_ms(to_milliseconds(order.deadline - context_.time.now()));
+    const std::uint32_t slice = order.allowance->take_slice();
+    request.set_allowance(slice);
+    context_.counters.count(event::attempts);
+    ++workers_[host].in_flight;
+    wire::forward_reply reply;
+    const bool own = host == context_.members.self.host();
+    const auto link = own ? nullptr : context_.peers.find(host);
+    if (own) {
+        reply = co_await context_.local.run_local(std::move(request), order.deadline, order.cancel);
+    } else if (link != nullptr) {
+        reply = co_await link->forward(std::move(request), order.deadline, order.cancel);
+    } else {
+        reply = make_reply(request, wire::not_run, reason::peer_unreachable);
+    }
+    const auto now = context_.time.now();
+    worker_record& record = workers_[host];
+    record.in_flight -= record.in_flight > 0 ? 1 : 0;
+    note_attempt_end(record, is_good(reply), now);
+    if (reply.has_load()) {
+        note_load(record, reply.load(), now);
+        order.allowance->give_back(std::min(slice, reply.allowance_left()));
+    } else if (reply.outcome() == wire::not_run) {
+        order.allowance->give_back(slice);
+    }
+    co_return reply;
+}
+
+// The reason under which the request is tried again, or none when its reply is final.
+reason dispatcher::may_retry(const dispatch_order& order, const wire::forward_reply& reply,
+                             std::uint32_t& redirects) {
+    const reason why = reason_from_token(reply.reason());
+    const bool proved = reply.outcome() == wire::not_run;
+    const bool repeatable = proved || (reply.outcome() == wire::unknown && order.request.idempotent());
+    const bool time_left = context_.time.now() + least_attempt_time < order.deadline;
+    if (!repeatable || is_final(why) || !time_left || order.cancel->requested()) {
+        return reason::none;
+    }
+    if (context_.unbounded_retries) {
+        return why;
+    }
+    if (proved && is_redirect(why) && redirects < most_redirects) {
+        ++redirects;
+        return why;
+    }
+    if (order.allowance->left() == 0) {
+        context_.counters.refused(reason::allowance_spent);
+        return reason::none;
+    }
+    if (!budgets_[order.request.service()].use_one()) {
+        context_.counters.refused(reason::retry_budget);
+        return reason::none;
+    }
+    const bool used = order.allowance->use_one();
+    DANDELIONMOUNT_INVARIANT(used);
+    return why;
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/request/dispatcher.h
@@ -0,0 +1,66 @@
+#ifndef DANDELIONMOUNT_REQUEST_DISPATCHER_H
+#define DANDELIONMOUNT_REQUEST_DISPATCHER_H
+
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/process/configuration_store.h"
+#include "dandelionmount/process/membership.h"
+#include "dandelionmount/process/metrics.h"
+#include "dandelionmount/process/peer_directory.h"
+#include "dandelionmount/request/executor.h"
+#include "dandelionmount/request/retry_allowance.h"
+#include "dandelionmount/request/worker_choice.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace dandelionmount {
+
+/// What a dispatcher needs of its process. All of it outlives the dispatcher.
+struct dispatcher_context {
+    const time_source& time;
+    metrics& counters;
+    const configuration_store& configuration;
+    const member_table& members;
+    peer_directory& peers;
+    executor& local;
+    std::mt19937_64& random;
+    /// Retry at every hop without an allowance. On only in benchmarks, as the thing to compare with.
+    bool unbounded_retries{false};
+};
+
+/// One request on its way to a worker.
+struct dispatch_order {
+    /// Filled but for the attempt number, the time left and the allowance.
+    wire::forward_request request;
+    steady_time deadline;
+    std::shared_ptr<retry_allowance> allowance;
+    std::shared_ptr<cancel_token> cancel;
+};
+
+/// Sends a request to a worker, and to another one where that is safe and worth it.
+class dispatcher {
+public:
+    explicit dispatcher(dispatcher_context context);
+
+    /// The final answer: an attempt is repeated only when the one before is proved not to have run, or when the
+    /// request is idempotent, and only within the request's allowance and the service's budget.
+    boost::asio::awaitable<wire::forward_reply> dispatch(dispatch_order order);
+
+private:
+    boost::asio::awaitable<wire::forward_reply> attempt(const dispatch_order& order, std::string host,
+                                                        std::uint32_t number);
+    [[nodiscard]] reason may_retry(const dispatch_order& order, const wire::forward_reply& reply,
+                                   std::uint32_t& redirects);
+    [[nodiscard]] double budget_share(const std::string& service) const;
+
+    dispatcher_context context_;
+    std::map<std::string, worker_record, std::less<>> workers_;
+    std::map<std::string, retry_budget> budgets_;
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/request/retry_allowance.h
@@ -0,0 +1,42 @@
+#ifndef DANDELIONMOUNT_REQUEST_RETRY_ALLOWANCE_H
+#define DANDELIONMOUNT_REQUEST_RETRY_ALLOWANCE_H
+
+#include <cstdint>
+
+namespace dandelionmount {
+
+/// Retries that one request may still use over its whole tree of calls.
+///
+/// A call below takes a slice and hands back what is left of it; a slice that does not come back is spent. So the
+/// attempts of a tree are at most its calls and the first allowance together.
+class retry_allowance {
+public:
+    explicit retry_allowance(std::uint32_t retries) : left_(retries) {}
+    /// Uses one retry; false when there is none.
+    [[nodiscard]] bool use_one();
+    /// Takes the part of the allowance that a call below may use: half of it, rounded up.
+    [[nodiscard]] std::uint32_t take_slice();
+    /// Hands back what a call below did not use.
+    void give_back(std::uint32_t retries) { left_ += retries; }
+    [[nodiscard]] std::uint32_t left() const { return left_; }
+
+private:
+    std::uint32_t left_;
+};
+
+/// Retries at one service as a share of first attempts, so that they stop when the service fails as a whole.
+class retry_budget {
+public:
+    void note_first_attempt(double share);
+    /// Uses one retry; false when the budget is empty.
+    [[nodiscard]] bool use_one();
+
+private:
+    double saved_{initial_retries};
+    static constexpr double initial_retries = 3;
+    static constexpr double most_saved = 10;
+};
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/request/worker_choice.cpp
@@ -0,0 +1,157 @@
+#include "dandelionmount/request/worker_choice.h"
+
+#include <algorithm>
+
+namespace dandelionmount {
+
+namespace {
+
+constexpr std::uint32_t failures_until_ejection = 5;
+constexpr duration ejection_time = std::chrono::seconds(2);
+// A report older than this says nothing about the load of now.
+constexpr duration report_life = std::chrono::seconds(1);
+constexpr duration slow_start = std::chrono::seconds(5);
+// Share of its place in line that a worker has at once when it becomes ready.
+constexpr double slow_start_floor = 0.1;
+// Own-zone workers count as short above this share of their limit.
+constexpr double zone_short = 0.9;
+// At most this share of a service's workers is ejected at a time.
+constexpr double most_ejected = 0.34;
+// Share of requests that reach a worker which sheds their priority, so that its level is heard again.
+constexpr double probe_share = 0.02;
+
+struct candidate {
+    const wire::member_record* member{nullptr};
+    worker_record* record{nullptr};
+    double score{0};
+};
+
+bool report_is_fresh(const worker_record& record, steady_time now) {
+    return record.load_heard != steady_time{} && now - record.load_heard < report_life;
+}
+
+double worker_limit(const wire::member_record& member, const worker_record& record, steady_time now) {
+    const bool fresh = report_is_fresh(record, now) && record.load.limit() > 0;
+    return std::max(1.0, static_cast<double>(fresh ? record.load.limit() : member.target_slots()));
+}
+
+// Load as a share of what the worker can do; lower is better.
+double load_score(const wire::member_record& member, const worker_record& record, steady_time now) {
+    double load = record.in_flight;
+    if (report_is_fresh(record, now)) {
+        load = std::max<double>(load, record.load.in_flight()) + record.load.queued();
+    }
+    const double age = to_seconds(now - record.ready_since) / to_seconds(slow_start);
+    const double weight = std::clamp(age, slow_start_floor, 1.0);
+    return (load + 1) / (worker_limit(member, record, now) * weight);
+}
+
+bool is_worker(const wire::member_record& member, std::string_view service) {
+    return member.state() == wire::member_alive && member.service() == service &&
+           member.target() == wire::target_ready;
+}
+
+void refresh_life(worker_record& record, const wire::member_record& member, steady_time now) {
+    if (record.incarnation != member.incarnation()) {
+        const bool first_sight = record.incarnation == 0;
+        record = worker_record{};
+        record.incarnation = member.incarnation();
+        // A worker that was there before this host knew it has had its slow start.
+        record.ready_since = first_sight ? now - slow_start : now;
+    }
+}
+
+// Keeps the candidates that pass, unless none does.
+template <typename Keep>
+bool filter(std::vector<candidate>& candidates, const Keep& keep) {
+    std::vector<candidate> kept;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(kept), keep);
+    if (kept.empty()) {
+        return false;
+    }
+    candidates = std::move(kept);
+    return true;
+}
+
+std::vector<candidate> find_candidates(const choice_context& context, const member_table& members,
+                                       std::map<std::string, worker_record, std::less<>>& records) {
+    std::vector<candidate> candidates;
+    const auto consider = [&](const wire::member_record& member) {
+        const bool excluded = std::find(context.excluded.begin(), context.excluded.end(), member.host()) !=
+                              context.excluded.end();
+        if (!is_worker(member, context.service) || excluded) {
+            return;
+        }
+        worker_record& record = records[member.host()];
+        refresh_life(record, member, context.now);
+        candidates.push_back({&member, &record, load_score(member, record, context.now)});
+    };
+    consider(members.self);
+    for (const auto& [host, member] : members.others) {
+        consider(member);
+    }
+    return candidates;
+}
+
+// Leaves out ejected workers, but never more than the allowed share of them.
+void leave_out_ejected(std::vector<candidate>& candidates, steady_time now) {
+    const auto is_ejected = [now](const candidate& one) { return one.record->ejected_until > now; };
+    const auto ejected = std::count_if(candidates.begin(), candidates.end(), is_ejected);
+    const double allowed = std::max(1.0, most_ejected * static_cast<double>(candidates.size()));
+    if (static_cast<double>(ejected) <= allowed) {
+        filter(candidates, [&](const candidate& one) { return !is_ejected(one); });
+    }
+}
+
+void prefer_own_zone(std::vector<candidate>& candidates, std::string_view zone) {
+    filter(candidates, [&](const candidate& one) { return one.member->zone() == zone && one.score < zone_short; });
+}
+
+const candidate& draw_better_of_two(const std::vector<candidate>& candidates, std::mt19937_64& random) {
+    std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
+    const candidate& first = candidates[draw(random)];
+    const candidate& second = candidates[draw(random)];
+    return first.score <= second.score ? first : second;
+}
+
+} // namespace
+
+worker_choice choose_worker(const choice_context& context, const member_table& members,
+                            std::map<std::string, worker_record, std::less<>>& records,
+                            std::mt19937_64& random) {
+    std::vector<candidate> candidates = find_candidates(context, members, records);
+    if (candidates.empty()) {
+        return {{}, reason::no_target};
+    }
+    leave_out_ejected(candidates, context.now);
+    const auto admits = [&](const candidate& one) {
+        return !report_is_fresh(*one.record, context.now) ||
+               one.record->load.admission_level() <= context.priority;
+    };
+    const bool any_admits = filter(candidates, admits);
+    std::uniform_real_distribution<double> chance(0, 1);
+    if (!any_admits && chance(random) >= probe_share) {
+        return {{}, reason::overload};
+    }
+    prefer_own_zone(candidates, context.zone);
+    return {draw_better_of_two(candidates, random).member->host(), reason::none};
+}
+
+void note_load(worker_record& record, const wire::load_report& load, steady_time now) {
+    record.load = load;
+    record.load_heard = now;
+}
+
+void note_attempt_end(worker_record& record, bool good, steady_time now) {
+    if (good) {
+        record.failures_in_row = 0;
+        return;
+    }
+    ++record.failures_in_row;
+    if (record.failures_in_row >= failures_until_ejection) {
+        record.failures_in_row = 0;
+        record.ejected_until = now + ejection_time;
+    }
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/request/worker_choice.h
@@ -0,0 +1,59 @@
+#ifndef DANDELIONMOUNT_REQUEST_WORKER_CHOICE_H
+#define DANDELIONMOUNT_REQUEST_WORKER_CHOICE_H
+
+#include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/membership.h"
+#include "dandelionmount/process/reason.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionmount {
+
+/// What this host has seen of one worker: a target behind its own host.
+struct worker_record {
+    /// Attempts of this host that are under way there.
+    std::uint32_t in_flight{0};
+    wire::load_report load;
+    steady_time load_heard;
+    /// When the worker was first seen ready in its present life.
+    steady_time ready_since;
+    std::uint64_t incarnation{0};
+    std::uint32_t failures_in_row{0};
+    steady_time ejected_until;
+};
+
+/// Everything that a choice looks at.
+struct choice_context {
+    std::string_view service;
+    std::string_view zone;
+    std::uint32_t priority{0};
+    std::span<const std::string> excluded;
+    steady_time now;
+};
+
+/// The host to send to, or why there is none.
+struct worker_choice {
+    std::string host;
+    reason why{reason::none};
+};
+
+/// Chooses the better of two workers drawn at random, those of the own zone first until they are short.
+/// Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
+[[nodiscard]] worker_choice choose_worker(const choice_context& context, const member_table& members,
+                                          std::map<std::string, worker_record, std::less<>>& records,
+                                          std::mt19937_64& random);
+/// Takes in a load report that came with an answer.
+void note_load(worker_record& record, const wire::load_report& load, steady_time now);
+/// Takes in how an attempt ended: a worker that fails several times in a row gets no work for a while.
+void note_attempt_end(worker_record& record, bool good, steady_time now);
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/version/configuration.cpp
@@ -0,0 +1,482 @@
+#include "dandelionmount/version/configuration.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace dandelionmount {
+
+namespace {
+
+constexpr double most_rate = 1e7;
+constexpr double least_rate = 0.01;
+constexpr std::int64_t most_retries = 16;
+constexpr std::int64_t most_priority = 9;
+constexpr std::int64_t most_timeout_ms = 600000;
+constexpr std::int64_t most_hosts_of_zone = 10000;
+constexpr std::int64_t most_seconds = 86400;
+constexpr std::size_t key_hash_digits = 64;
+constexpr std::size_t key_id_digits = 16;
+constexpr std::size_t most_name_length = 64;
+
+// An entry that may be incomplete: an overlay names only what it changes.
+struct partial_entry {
+    std::string file;
+    std::uint32_t line{0};
+    std::string name;
+    std::optional<std::string> service;
+    std::optional<double> rate;
+    std::optional<double> burst;
+    std::optional<std::vector<std::string>> keys;
+    std::optional<bool> strict;
+    std::optional<std::int64_t> retries;
+    std::optional<double> retry_budget;
+    std::optional<bool> idempotent;
+    std::optional<std::int64_t> priority;
+    std::optional<std::int64_t> timeout_ms;
+    std::optional<std::int64_t> timeout_limit_ms;
+    std::optional<bool> open;
+    std::optional<std::vector<std::string>> accounts;
+    std::optional<std::int64_t> hosts;
+};
+
+struct partial_fleet {
+    std::optional<std::int64_t> isolated_serving_s;
+    std::optional<std::int64_t> strict_isolated_serving_s;
+    std::optional<std::int64_t> idempotency_window_s;
+};
+
+struct partial_configuration {
+    partial_fleet fleet;
+    std::vector<partial_entry> zones;
+    std::vector<partial_entry> accounts;
+    std::vector<partial_entry> services;
+    std::vector<partial_entry> routes;
+};
+
+using entry_reader = std::function<void(table_reader&, partial_entry&)>;
+
+template <typename T>
+void override_with(std::optional<T>& value, const std::optional<T>& newer) {
+    if (newer) {
+        value = newer;
+    }
+}
+
+bool is_name(std::string_view text) {
+    if (text.empty() || text.size() > most_name_length) {
+        return false;
+    }
+    return std::all_of(text.begin(), text.end(), [](char raw) {
+        const auto value = static_cast<unsigned char>(raw);
+        return std::isalnum(value) != 0 || raw == '-' || raw == '_' || raw == '.';
+    });
+}
+
+bool is_prefix(std::string_view text) {
+    const bool plain = std::all_of(text.begin(), text.end(), [](char raw) {
+        return static_cast<unsigned char>(raw) > 0x20 && raw != '?' && raw != '#';
+    });
+    return !text.empty() && text.front() == '/' && plain;
+}
+
+bool is_key_hash(std::string_view text) {
+    const bool digits = std::all_of(text.begin(), text.end(), [](char raw) {
+        return (raw >= '0' && raw <= '9') || (raw >= 'a' && raw <= 'f');
+    });
+    return digits && text.size() == key_hash_digits;
+}
+
+void read_zone(table_reader& reader, partial_entry& entry) {
+    entry.hosts = reader.whole("hosts", 1, most_hosts_of_zone);
+}
+
+void read_account(table_reader& reader, partial_entry& entry) {
+    entry.rate = reader.number("rate", least_rate, most_rate);
+    entry.burst = reader.number("burst", 1, most_rate);
+    entry.strict = reader.flag("strict");
+    entry.keys = reader.texts("keys");
+    if (entry.keys && !std::all_of(entry.keys->begin(), entry.keys->end(), is_key_hash)) {
+        reader.report("keys", "a list of SHA-256 hashes, 64 lower-case hexadecimal digits each");
+    }
+}
+
+void read_service(table_reader& reader, partial_entry& entry) {
+    entry.retries = reader.whole("retries", 0, most_retries);
+    entry.retry_budget = reader.number("retry_budget", 0, 1);
+}
+
+void read_route(table_reader& reader, partial_entry& entry) {
+    entry.service = reader.text("service");
+    entry.idempotent = reader.flag("idempotent");
+    entry.priority = reader.whole("priority", 0, most_priority);
+    entry.timeout_ms = reader.whole("timeout_ms", 1, most_timeout_ms);
+    entry.timeout_limit_ms = reader.whole("timeout_limit_ms", 1, most_timeout_ms);
+    entry.open = reader.flag("open");
+    entry.accounts = reader.texts("accounts");
+}
+
+// Reads the entries of one kind of one file; two with the same name are an error.
+class entry_list_reader {
+public:
+    entry_list_reader(const toml::table& root, std::string_view file, std::vector<file_error>& errors)
+        : root_(root), file_(file), errors_(errors) {}
+
+    std::vector<partial_entry> read(std::string_view kind, std::string_view name_key,
+                                    const entry_reader& read_fields) {
+        std::vector<partial_entry> entries;
+        const toml::node* node = root_.get(kind);
+        if (node == nullptr) {
+            return entries;
+        }
+        const toml::array* array = node->as_array();
+        if (array == nullptr || !array->is_array_of_tables()) {
+            errors_.push_back({std::string(file_), node->source().begin.line, std::string(kind),
+                               "a list of tables, written [[" + std::string(kind) + "]]"});
+            return entries;
+        }
+        std::set<std::string> names;
+        for (const auto& element : *array) {
+            read_entry(*element.as_table(), kind, name_key, read_fields, names, entries);
+        }
+        return entries;
+    }
+
+private:
+    void read_entry(const toml::table& table, std::string_view kind, std::string_view name_key,
+                    const entry_reader& read_fields, std::set<std::string>& names,
+                    std::vector<partial_entry>& entries) {
+        table_reader reader(table, file_, kind, errors_);
+        partial_entry entry;
+        entry.file = std::string(file_);
+        entry.line = reader.line();
+        const bool is_route = name_key == "prefix";
+        const auto name = reader.text(name_key);
+        if (!name) {
+            reader.report(name_key, "needed here");
+        } else if (is_route ? !is_prefix(*name) : !is_name(*name)) {
+            reader.report(name_key, is_route ? "a path that starts with / and has no space, ? or #"
+                                             : "1 to 64 letters, digits, -, _ or .");
+        } else if (!names.insert(*name).second) {
+            reader.report(name_key, "a name that no other " + std::string(kind) + " of this file has");
+        }
+        entry.name = name.value_or("");
+        read_fields(reader, entry);
+        reader.finish();
+        entries.push_back(std::move(entry));
+    }
+
+    const toml::table& root_;
+    std::string_view file_;
+    std::vector<file_error>& errors_;
+};
+
+partial_fleet read_fleet(const toml::table& root, std::string_view file, std::vector<file_error>& errors) {
+    partial_fleet fleet;
+    const toml::node* node = root.get("fleet");
+    if (node == nullptr) {
+        return fleet;
+    }
+    if (!node->is_table()) {
+        errors.push_back({std::string(file), node->source().begin.line, "fleet", "a table"});
+        return fleet;
+    }
+    table_reader reader(*node->as_table(), file, "fleet", errors);
+    fleet.isolated_serving_s = reader.whole("isolated_serving_s", 1, most_seconds);
+    fleet.strict_isolated_serving_s = reader.whole("strict_isolated_serving_s", 1, most_seconds);
+    fleet.idempotency_window_s = reader.whole("idempotency_window_s", 1, most_seconds);
+    reader.finish();
+    return fleet;
+}
+
+partial_configuration read_file(const configuration_file& file, std::vector<file_error>& errors) {
+    partial_configuration part;
+    const auto root = parse_toml(file.text, file.name, errors);
+    if (!root) {
+        return part;
+    }
+    for (const auto& [key, node] : *root) {
+        static const std::set<std::string_view> known = {"fleet", "zone", "account", "service", "route"};
+        if (known.find(key.str()) == known.end()) {
+            errors.push_back({file.name, node.source().begin.line, std::string(key.str()),
+                              "one of fleet, zone, account, service, route"});
+        }
+    }
+    part.fleet = read_fleet(*root, file.name, errors);
+    entry_list_reader reader(*root, file.name, errors);
+    part.zones = reader.read("zone", "name", read_zone);
+    part.accounts = reader.read("account", "name", read_account);
+    part.services = reader.read("service", "name", read_service);
+    part.routes = reader.read("route", "prefix", read_route);
+    return part;
+}
+
+void override_entry(partial_entry& entry, const partial_entry& newer) {
+    entry.file = newer.file;
+    entry.line = newer.line;
+    override_with(entry.service, newer.service);
+    override_with(entry.rate, newer.rate);
+    override_with(entry.burst, newer.burst);
+    override_with(entry.keys, newer.keys);
+    override_with(entry.strict, newer.strict);
+    override_with(entry.retries, newer.retries);
+    override_with(entry.retry_budget, newer.retry_budget);
+    override_with(entry.idempotent, newer.idempotent);
+    override_with(entry.priority, newer.priority);
+    override_with(entry.timeout_ms, newer.timeout_ms);
+    override_with(entry.timeout_limit_ms, newer.timeout_limit_ms);
+    override_with(entry.open, newer.open);
+    override_with(entry.accounts, newer.accounts);
+    override_with(entry.hosts, newer.hosts);
+}
+
+void merge_entries(std::vector<partial_entry>& entries, const std::vector<partial_entry>& newer) {
+    for (const auto& entry : newer) {
+        const auto same_name = [&entry](const partial_entry& other) { return other.name == entry.name; };
+        const auto found = std::find_if(entries.begin(), entries.end(), same_name);
+        if (found == entries.end()) {
+            entries.push_back(entry);
+        } else {
+            override_entry(*found, entry);
+        }
+    }
+}
+
+void merge(partial_configuration& base, const partial_configuration& overlay) {
+    override_with(base.fleet.isolated_serving_s, overlay.fleet.isolated_serving_s);
+    override_with(base.fleet.strict_isolated_serving_s, overlay.fleet.strict_isolated_serving_s);
+    override_with(base.fleet.idempotency_window_s, overlay.fleet.idempotency_window_s);
+    merge_entries(base.zones, overlay.zones);
+    merge_entries(base.accounts, overlay.accounts);
+    merge_entries(base.services, overlay.services);
+    merge_entries(base.routes, overlay.routes);
+}
+
+void require(bool present, const partial_entry& entry, std::string_view key,
+             std::vector<file_error>& errors) {
+    if (!present) {
+        errors.push_back({entry.file, entry.line, std::string(key), "needed for " + entry.name});
+    }
+}
+
+fleet_settings complete_fleet(const partial_fleet& part) {
+    fleet_settings fleet;
+    if (part.isolated_serving_s) {
+        fleet.isolated_serving = std::chrono::seconds(*part.isolated_serving_s);
+    }
+    if (part.strict_isolated_serving_s) {
+        fleet.strict_isolated_serving = std::chrono::seconds(*part.strict_isolated_serving_s);
+    }
+    if (part.idempotency_window_s) {
+        fleet.idempotency_window = std::chrono::seconds(*part.idempotency_window_s);
+    }
+    return fleet;
+}
+
+account_settings complete_account(const partial_entry& entry, std::vector<file_error>& errors) {
+    require(entry.rate.has_value(), entry, "account.rate", errors);
+    require(entry.burst.has_value(), entry, "account.burst", errors);
+    account_settings account;
+    account.name = entry.name;
+    account.rate = entry.rate.value_or(0);
+    account.burst = entry.burst.value_or(0);
+    account.keys = entry.keys.value_or(std::vector<std::string>{});
+    account.strict = entry.strict.value_or(false);
+    return account;
+}
+
+service_settings complete_service(const partial_entry& entry) {
+    service_settings service;
+    service.name = entry.name;
+    service.retries = static_cast<std::uint32_t>(entry.retries.value_or(service.retries));
+    service.retry_budget = entry.retry_budget.value_or(service.retry_budget);
+    return service;
+}
+
+route_settings complete_route(const partial_entry& entry, std::vector<file_error>& errors) {
+    require(entry.service.has_value(), entry, "route.service", errors);
+    route_settings route;
+    route.prefix = entry.name;
+    route.service = entry.service.value_or("");
+    route.idempotent = entry.idempotent.value_or(route.idempotent);
+    route.priority = static_cast<std::uint32_t>(entry.priority.value_or(route.priority));
+    route.timeout = std::chrono::milliseconds(entry.timeout_ms.value_or(route.timeout.count()));
+    const auto usual_limit = std::max(route.timeout, route.timeout_limit);
+    route.timeout_limit = std::chrono::milliseconds(entry.timeout_limit_ms.value_or(usual_limit.count()));
+    route.open = entry.open.value_or(false);
+    route.accounts = entry.accounts.value_or(std::vector<std::string>{});
+    if (route.timeout > route.timeout_limit) {
+        errors.push_back({entry.file, entry.line, "route.timeout_ms",
+                          "at most timeout_limit_ms, " + std::to_string(route.timeout_limit.count())});
+    }
+    return route;
+}
+
+// What no entry can tell alone: references, keys that two accounts share, an empty list of zones.
+void check_references(const configuration& config, const partial_configuration& part,
+                      std::vector<file_error>& errors) {
+    for (std::size_t index = 0; index < config.routes.size(); ++index) {
+        const auto& route = config.routes[index];
+        const auto& entry = part.routes[index];
+        if (!route.service.empty() && find_service(config, route.service) == nullptr) {
+            errors.push_back({entry.file, entry.line, "route.service",
+                              "the name of a [[service]], not " + route.service});
+        }
+        for (const auto& account : route.accounts) {
+            if (find_account(config, account) == nullptr) {
+                errors.push_back({entry.file, entry.line, "route.accounts",
+                                  "names of [[account]] entries, not " + account});
+            }
+        }
+    }
+    std::map<std::string, std::string> owners;
+    for (std::size_t index = 0; index < config.accounts.size(); ++index) {
+        for (const auto& key : config.accounts[index].keys) {
+            const auto [found, fresh] = owners.emplace(key, config.accounts[index].name);
+            if (!fresh) {
+                errors.push_back({part.accounts[index].file, part.accounts[index].line, "account.keys",
+                                  "a key that " + found->second + " does not have, too"});
+            }
+        }
+    }
+}
+
+configuration complete(const partial_configuration& part, std::vector<file_error>& errors) {
+    configuration config;
+    config.fleet = complete_fleet(part.fleet);
+    for (const auto& entry : part.zones) {
+        require(entry.hosts.has_value(), entry, "zone.hosts", errors);
+        config.zones.push_back({entry.name, static_cast<std::uint32_t>(entry.hosts.value_or(1))});
+    }
+    for (const auto& entry : part.accounts) {
+        config.accounts.push_back(complete_account(entry, errors));
+    }
+    for (const auto& entry : part.services) {
+        config.services.push_back(complete_service(entry));
+    }
+    for (const auto& entry : part.routes) {
+        config.routes.push_back(complete_route(entry, errors));
+    }
+    check_references(config, part, errors);
+    return config;
+}
+
+toml::array to_array(const std::vector<std::string>& texts) {
+    toml::array array;
+    for (const auto& text : texts) {
+        array.push_back(text);
+    }
+    return array;
+}
+
+toml::table render_account(const account_settings& account) {
+    return toml::table{{"name", account.name},
+                       {"rate", account.rate},
+                       {"burst", account.burst},
+                       {"keys", to_array(account.keys)},
+                       {"strict", account.strict}};
+}
+
+toml::table render_route(const route_settings& route) {
+    return toml::table{{"prefix", route.prefix},
+                       {"service", route.service},
+                       {"idempotent", route.idempotent},
+                       {"priority", static_cast<std::int64_t>(route.priority)},
+                       {"timeout_ms", static_cast<std::int64_t>(route.timeout.count())},
+                       {"timeout_limit_ms", static_cast<std::int64_t>(route.timeout_limit.count())},
+                       {"open", route.open},
+                       {"accounts", to_array(route.accounts)}};
+}
+
+template <typename Entries, typename Render>
+void render_list(toml::table& root, std::string_view kind, const Entries& entries, const Render& render) {
+    toml::array array;
+    for (const auto& entry : entries) {
+        array.push_back(render(entry));
+    }
+    if (!array.empty()) {
+        root.insert(kind, std::move(array));
+    }
+}
+
+} // namespace
+
+configuration_outcome read_configuration(const configuration_file& base,
+                                         const std::optional<configuration_file>& overlay) {
+    configuration_outcome outcome;
+    partial_configuration part = read_file(base, outcome.errors);
+    if (overlay) {
+        merge(part, read_file(*overlay, outcome.errors));
+    }
+    if (!outcome.errors.empty()) {
+        return outcome;
+    }
+    configuration config = complete(part, outcome.errors);
+    if (outcome.errors.empty()) {
+        outcome.value = std::move(config);
+    }
+    return outcome;
+}
+
+std::string render_configuration(const configuration& config) {
+    toml::table root;
+    root.insert("fleet",
+                toml::table{{"isolated_serving_s", std::int64_t{config.fleet.isolated_serving.count()}},
+                            {"strict_isolated_serving_s",
+                             std::int64_t{config.fleet.strict_isolated_serving.count()}},
+                            {"idempotency_window_s", std::int64_t{config.fleet.idempotency_window.count()}}});
+    render_list(root, "zone", config.zones, [](const zone_settings& zone) {
+        return toml::table{{"name", zone.name}, {"hosts", static_cast<std::int64_t>(zone.hosts)}};
+    });
+    render_list(root, "account", config.accounts, render_account);
+    render_list(root, "service", config.services, [](const service_settings& service) {
+        return toml::table{{"name", service.name},
+                           {"retries", static_cast<std::int64_t>(service.retries)},
+                           {"retry_budget", service.retry_budget}};
+    });
+    render_list(root, "route", config.routes, render_route);
+    std::ostringstream text;
+    text << root << "\n";
+    return text.str();
+}
+
+const account_settings* find_account(const configuration& config, std::string_view name) {
+    for (const auto& account : config.accounts) {
+        if (account.name == name) {
+            return &account;
+        }
+    }
+    return nullptr;
+}
+
+const service_settings* find_service(const configuration& config, std::string_view name) {
+    for (const auto& service : config.services) {
+        if (service.name == name) {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+const route_settings* find_route(const configuration& config, std::string_view path) {
+    const std::string_view plain = path.substr(0, path.find('?'));
+    const route_settings* best = nullptr;
+    for (const auto& route : config.routes) {
+        if (!plain.starts_with(route.prefix)) {
+            continue;
+        }
+        const bool whole_segment = plain.size() == route.prefix.size() || route.prefix.back() == '/' ||
+                                   plain[route.prefix.size()] == '/';
+        if (whole_segment && (best == nullptr || route.prefix.size() > best->prefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+std::string key_id_of(std::string_view key_hash) { return std::string(key_hash.substr(0, key_id_digits)); }
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/version/configuration.h
@@ -0,0 +1,105 @@
+#ifndef DANDELIONMOUNT_VERSION_CONFIGURATION_H
+#define DANDELIONMOUNT_VERSION_CONFIGURATION_H
+
+#include "dandelionmount/version/table_reader.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionmount {
+
+/// A customer of the operators: its limits hold over all hosts together.
+struct account_settings {
+    std::string name;
+    /// Requests each second over the whole fleet.
+    double rate{0};
+    /// Requests that may come at once over the whole fleet.
+    double burst{0};
+    /// SHA-256 of each key, as hexadecimal.
+    std::vector<std::string> keys;
+    /// Refused after seconds, not hours, in an availability zone that is cut off from everything.
+    bool strict{false};
+};
+
+/// A group of targets that answer the same requests.
+struct service_settings {
+    std::string name;
+    /// Retries that one request may use over its whole tree of calls when it enters at this service.
+    std::uint32_t retries{2};
+    /// Retries allowed as a share of first attempts at this service.
+    double retry_budget{0.1};
+};
+
+/// Maps paths to a service.
+struct route_settings {
+    std::string prefix;
+    std::string service;
+    bool idempotent{false};
+    /// From 0, shed first, to 9, shed last.
+    std::uint32_t priority{4};
+    std::chrono::milliseconds timeout{1000};
+    std::chrono::milliseconds timeout_limit{10000};
+    /// Needs no key.
+    bool open{false};
+    /// Client accounts that may use the route; empty means all.
+    std::vector<std::string> accounts;
+};
+
+/// An availability zone and the number of host slots in it.
+struct zone_settings {
+    std::string name;
+    std::uint32_t hosts{0};
+};
+
+/// Times that hold for the whole fleet.
+struct fleet_settings {
+    /// How long a host that hears from nobody goes on serving.
+    std::chrono::seconds isolated_serving{3600};
+    /// The same for client accounts marked strict.
+    std::chrono::seconds strict_isolated_serving{5};
+    /// How long the outcome of an idempotency key is kept.
+    std::chrono::seconds idempotency_window{300};
+};
+
+/// One whole, valid configuration.
+struct configuration {
+    fleet_settings fleet;
+    std::vector<zone_settings> zones;
+    std::vector<account_settings> accounts;
+    std::vector<service_settings> services;
+    std::vector<route_settings> routes;
+};
+
+/// A named file's text.
+struct configuration_file {
+    std::string name;
+    std::string text;
+};
+
+/// A configuration, or the errors that keep it from being one.
+struct configuration_outcome {
+    std::optional<configuration> value;
+    std::vector<file_error> errors;
+};
+
+/// Reads a base file and, when there is one, the overlay of a site, whose entries override by name.
+[[nodiscard]] configuration_outcome read_configuration(const configuration_file& base,
+                                                       const std::optional<configuration_file>& overlay);
+/// The TOML text that read_configuration turns into the same configuration.
+[[nodiscard]] std::string render_configuration(const configuration& config);
+
+[[nodiscard]] const account_settings* find_account(const configuration& config, std::string_view name);
+[[nodiscard]] const service_settings* find_service(const configuration& config, std::string_view name);
+/// The route whose prefix is the longest that matches whole segments of the path.
+[[nodiscard]] const route_settings* find_route(const configuration& config, std::string_view path);
+
+/// The name of a key that may be shown and logged: the first 16 digits of its SHA-256.
+[[nodiscard]] std::string key_id_of(std::string_view key_hash);
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/version/table_reader.h
@@ -0,0 +1,64 @@
+#ifndef DANDELIONMOUNT_VERSION_TABLE_READER_H
+#define DANDELIONMOUNT_VERSION_TABLE_READER_H
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <toml++/toml.h>
+#include <vector>
+
+namespace dandelionmount {
+
+/// What is wrong with a settings or configuration file, and what is allowed instead.
+struct file_error {
+    std::string file;
+    std::uint32_t line{0};
+    std::string key;
+    std::string allowed;
+};
+
+/// "FILE:LINE: KEY: ALLOWED"
+[[nodiscard]] std::string to_text(const file_error& error);
+/// One error a line.
+[[nodiscard]] std::string to_text(const std::vector<file_error>& errors);
+
+/// Reads one TOML table; every value that is missing, mistyped, out of range or unknown becomes an error.
+class table_reader {
+public:
+    /// The table, the file's name and the list of errors outlive the reader. `section` names the table.
+    table_reader(const toml::table& table, std::string_view file, std::string_view section,
+                 std::vector<file_error>& errors);
+
+    [[nodiscard]] std::optional<std::string> text(std::string_view key);
+    /// Accepts whole numbers from `least` to `most`.
+    [[nodiscard]] std::optional<std::int64_t> whole(std::string_view key, std::int64_t least,
+                                                    std::int64_t most);
+    /// Accepts numbers from `least` to `most`.
+    [[nodiscard]] std::optional<double> number(std::string_view key, double least, double most);
+    [[nodiscard]] std::optional<bool> flag(std::string_view key);
+    [[nodiscard]] std::optional<std::vector<std::string>> texts(std::string_view key);
+    /// Reports the keys that nobody has asked for.
+    void finish();
+    /// Adds an error at a key of this table.
+    void report(std::string_view key, std::string_view allowed);
+    [[nodiscard]] std::uint32_t line() const;
+
+private:
+    [[nodiscard]] const toml::node* find(std::string_view key);
+
+    const toml::table& table_;
+    std::string_view file_;
+    std::string section_;
+    std::vector<file_error>& errors_;
+    std::set<std::string, std::less<>> known_;
+};
+
+/// Parses TOML text; a syntax error is added to the list.
+[[nodiscard]] std::optional<toml::table> parse_toml(std::string_view text, std::string_view file,
+                                                    std::vector<file_error>& errors);
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/standins/log_store.h
@@ -0,0 +1,35 @@
+#ifndef DANDELIONMOUNT_STANDINS_LOG_STORE_H
+#define DANDELIONMOUNT_STANDINS_LOG_STORE_H
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace standins {
+
+/// The records of the stand-in for the platform's log; only the newest are kept.
+class log_store {
+public:
+    /// Keeps that many records.
+    explicit log_store(std::size_t retention) : retention_(retention) {}
+    /// Returns the record's offset.
+    std::uint64_t append(std::string record);
+    /// Records from an offset on, `most` of them at the most.
+    [[nodiscard]] std::vector<std::string> read(std::uint64_t from, std::size_t most) const;
+    [[nodiscard]] std::uint64_t first() const { return first_; }
+    [[nodiscard]] std::uint64_t next() const { return first_ + records_.size(); }
+    void set_retention(std::size_t retention);
+
+private:
+    void trim();
+
+    std::size_t retention_;
+    std::uint64_t first_{0};
+    std::deque<std::string> records_;
+};
+
+} // namespace standins
+
+#endif
--- /dev/null
+++ b/standins/standin_caller.cpp
@@ -0,0 +1,214 @@
+// Stand-in for callers: sends requests at a rate over kept connections and prints what came back as JSON.
+//
+// Each line of --plan is one caller: "ADDRESS KEY PATH RATE RETRIES". RETRIES is how often a refused request is
+// sent again at once. Requests arrive at random (seeded), whether or not earlier ones have been answered.
+
+#include "dandelionmount/connection/address.h"
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/http_headers.h"
+#include "dandelionmount/process/clock.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+
+DEFINE_string(plan, "", "file with one caller a line: ADDRESS KEY PATH RATE RETRIES");
+DEFINE_double(seconds, 5, "how long to send");
+DEFINE_uint64(seed, 1, "seed of the arrivals");
+DEFINE_int32(timeout_ms, 1000, "Dandelion-Timeout of each request");
+DEFINE_string(method, "GET", "method of each request");
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using dandelionmount::as_result;
+using nlohmann::json;
+
+constexpr auto answer_margin = std::chrono::seconds(2);
+
+struct caller_plan {
+    std::string address;
+    std::string key;
+    std::string path;
+    double rate{1};
+    int retries{0};
+};
+
+struct caller_result {
+    std::map<std::string, std::uint64_t> outcomes;
+    std::vector<double> milliseconds;
+    std::uint64_t sent{0};
+    std::uint64_t attempts{0};
+    /// Whole answers in each second.
+    std::map<int, std::uint64_t> good_by_second;
+};
+
+// One caller with a pool of connections.
+class caller {
+public:
+    caller(asio::io_context& io, caller_plan plan, std::uint64_t seed)
+        : io_(io), plan_(std::move(plan)), random_(seed), began_(std::chrono::steady_clock::now()) {}
+
+    asio::awaitable<void> run() {
+        std::exponential_distribution<double> gap(plan_.rate);
+        const auto end = began_ + dandelionmount::from_seconds(FLAGS_seconds);
+        auto next = began_ + dandelionmount::from_seconds(gap(random_));
+        while (next < end) {
+            asio::steady_timer timer(io_, next);
+            co_await timer.async_wait(as_result);
+            asio::co_spawn(io_, send(), asio::detached);
+            next += dandelionmount::from_seconds(gap(random_));
+        }
+    }
+
+    [[nodiscard]] json report() const {
+        std::vector<double> sorted = result_.milliseconds;
+        std::sort(sorted.begin(), sorted.end());
+        const auto quantile = [&](double share) {
+            return sorted.empty() ? 0.0
+                                  : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+        };
+        return {{"address", plan_.address},     {"path", plan_.path},          {"sent", result_.sent},
+                {"attempts", result_.attempts}, {"outcomes", result_.outcomes}, {"p50_ms", quantile(0.5)},
+                {"p99_ms", quantile(0.99)},     {"good_by_second", good_by_second()}};
+    }
+
+private:
+    struct connection {
+        explicit connection(asio::io_context& io) : stream(io) {}
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+    };
+    using connection_pointer = std::shared_ptr<connection>;
+
+    json good_by_second() const {
+        json values = json::array();
+        for (int second = 0; second <= static_cast<int>(FLAGS_seconds); ++second) {
+            const auto found = result_.good_by_second.find(second);
+            values.push_back(found == result_.good_by_second.end() ? 0 : found->second);
+        }
+        return values;
+    }
+
+    asio::awaitable<void> send() {
+        ++result_.sent;
+        const auto sent = std::chrono::steady_clock::now();
+        std::string outcome;
+        for (int tries = 0; tries <= plan_.retries; ++tries) {
+            ++result_.attempts;
+            outcome = co_await exchange();
+            if (outcome == "200") {
+                break;
+            }
+        }
+        const auto now = std::chrono::steady_clock::now();
+        ++result_.outcomes[outcome];
+        if (outcome == "200") {
+            result_.milliseconds.push_back(dandelionmount::to_seconds(now - sent) * 1000);
+            ++result_.good_by_second[static_cast<int>(dandelionmount::to_seconds(now - began_))];
+        }
+    }
+
+    asio::awaitable<connection_pointer> take_connection() {
+        if (!idle_.empty()) {
+            auto conn = idle_.back();
+            idle_.pop_back();
+            co_return conn;
+        }
+        auto conn = std::make_shared<connection>(io_);
+        const auto address = dandelionmount::parse_address(plan_.address);
+        conn->stream.expires_after(answer_margin);
+        auto [error] =
+            co_await conn->stream.async_connect(asio::ip::tcp::endpoint(address->ip, address->port), as_result);
+        if (error) {
+            co_return nullptr;
+        }
+        beast::error_code ignored;
+        conn->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        co_return conn;
+    }
+
+    asio::awaitable<std::string> exchange() {
+        auto conn = co_await take_connection();
+        if (!conn) {
+            co_return "no_connection";
+        }
+        dandelionmount::http_request request{http::string_to_verb(FLAGS_method), plan_.path, 11};
+        request.set(http::field::host, plan_.address);
+        request.set(std::string(dandelionmount::timeout_header), std::to_string(FLAGS_timeout_ms));
+        if (plan_.key != "-") {
+            request.set(http::field::authorization, "Bearer " + plan_.key);
+        }
+        request.prepare_payload();
+        conn->stream.expires_after(std::chrono::milliseconds(FLAGS_timeout_ms) + answer_margin);
+        auto [write_error, written] = co_await http::async_write(conn->stream, request, as_result);
+        if (write_error) {
+            co_return "lost";
+        }
+        dandelionmount::http_response answer;
+        auto [read_error, count] = co_await http::async_read(conn->stream, conn->buffer, answer, as_result);
+        if (read_error) {
+            co_return "lost";
+        }
+        if (answer.keep_alive()) {
+            idle_.push_back(conn);
+        }
+        const std::string reason(answer[std::string(dandelionmount::reason_header)]);
+        co_return std::to_string(answer.result_int()) + (reason.empty() ? "" : " " + reason);
+    }
+
+    asio::io_context& io_;
+    caller_plan plan_;
+    std::mt19937_64 random_;
+    dandelionmount::steady_time began_;
+    std::vector<connection_pointer> idle_;
+    caller_result result_;
+};
+
+std::vector<caller_plan> read_plan() {
+    std::vector<caller_plan> plans;
+    std::ifstream file(FLAGS_plan);
+    for (std::string line; std::getline(file, line);) {
+        std::istringstream fields(line);
+        caller_plan plan;
+        if (fields >> plan.address >> plan.key >> plan.path >> plan.rate >> plan.retries) {
+            plans.push_back(plan);
+        }
+    }
+    return plans;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    asio::io_context io(1);
+    std::vector<std::unique_ptr<caller>> callers;
+    std::uint64_t seed = FLAGS_seed;
+    for (auto& plan : read_plan()) {
+        callers.push_back(std::make_unique<caller>(io, plan, seed++));
+        asio::co_spawn(io, callers.back()->run(), asio::detached);
+    }
+    io.run();
+    json reports = json::array();
+    for (const auto& one : callers) {
+        reports.push_back(one->report());
+    }
+    std::cout << reports.dump(1) << "\n";
+    return 0;
+}
--- /dev/null
+++ b/standins/target_behaviour.cpp
@@ -0,0 +1,188 @@
+#include "standins/target_behaviour.h"
+
+#include "dandelionmount/connection/http_client.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace standins {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using dandelionmount::http_request;
+using dandelionmount::http_response;
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned ok = 200;
+constexpr unsigned server_error = 500;
+constexpr unsigned bad_gateway = 502;
+constexpr auto announce_interval = std::chrono::milliseconds(300);
+constexpr auto call_limit = std::chrono::seconds(30);
+constexpr std::size_t most_answer = 16UL * 1024 * 1024;
+
+} // namespace
+
+target_behaviour::target_behaviour(asio::any_io_executor executor, target_options options)
+    : executor_(std::move(executor)), options_(std::move(options)) {}
+
+asio::awaitable<http_response> target_behaviour::answer(http_request request,
+                                                        std::shared_ptr<dandelionmount::cancel_token> cancel) {
+    const std::string path(request.target());
+    if (path == "/control") {
+        co_return control(request.body());
+    }
+    if (path == "/runs") {
+        co_return report();
+    }
+    auto response = co_await work(std::move(request), std::move(cancel));
+    co_return response;
+}
+
+asio::awaitable<http_response> target_behaviour::work(http_request request,
+                                                      std::shared_ptr<dandelionmount::cancel_token> cancel) {
+    const std::string id(request[std::string(dandelionmount::request_header)]);
+    const std::string timeout(request[std::string(dandelionmount::timeout_header)]);
+    ++runs_[id];
+    ++paths_[std::string(request.target())];
+    look_for_forbidden(request);
+    if (draw(options_.fail_share)) {
+        co_return dandelionmount::make_text_answer(server_error, "text/plain", "failed\n");
+    }
+    co_await take_slot();
+    co_await dandelionmount::sleep_for(executor_, std::chrono::milliseconds(options_.service_ms));
+    std::string nested;
+    bool whole = true;
+    if (!cancel->requested()) {
+        whole = co_await call_others(id, timeout, nested);
+    }
+    give_slot();
+    ++finished_;
+    cancelled_ += cancel->requested() ? 1 : 0;
+    const json body{{"service", options_.service},
+                    {"path", std::string(request.target())},
+                    {"account", std::string(request[std::string(dandelionmount::account_header)])},
+                    {"body_bytes", request.body().size()},
+                    {"calls", nested}};
+    auto response = dandelionmount::make_text_answer(whole ? ok : bad_gateway, "application/json", body.dump() + "\n");
+    if (draw(options_.cut_share)) {
+        // Promises more than it sends: the server then closes the connection in the middle.
+        response.content_length(response.body().size() + 100);
+        response.keep_alive(false);
+    }
+    co_return response;
+}
+
+asio::awaitable<bool> target_behaviour::call_others(std::string request_id, std::string timeout,
+                                                    std::string& body) {
+    bool whole = true;
+    const auto calls = options_.calls;
+    for (const auto& path : calls) {
+        http_request request{http::verb::post, path, 11};
+        if (options_.keeps_context) {
+            request.set(std::string(dandelionmount::request_header), request_id);
+        }
+        if (!timeout.empty()) {
+            request.set(std::string(dandelionmount::timeout_header), timeout);
+        }
+        auto answer =
+            co_await dandelionmount::http_exchange(options_.node_address, request, call_limit, most_answer);
+        const bool good = answer && answer.value().result() == http::status::ok;
+        body += good ? answer.value().body() : std::string("failed ");
+        whole = whole && good;
+    }
+    co_return whole;
+}
+
+asio::awaitable<void> target_behaviour::take_slot() {
+    if (busy_ >= options_.slots) {
+        auto turn = std::make_shared<dandelionmount::async_event>(executor_);
+        waiting_.push_back(turn);
+        co_await turn->wait_until(dandelionmount::steady_time::max());
+        co_return;
+    }
+    ++busy_;
+}
+
+// Hands the slot to the next that waits.
+void target_behaviour::give_slot() {
+    if (!waiting_.empty() && busy_ <= options_.slots) {
+        waiting_.front()->set();
+        waiting_.pop_front();
+        return;
+    }
+    --busy_;
+}
+
+void target_behaviour::look_for_forbidden(const http_request& request) {
+    if (options_.forbidden.empty()) {
+        return;
+    }
+    bool seen = std::string(request.target()).find(options_.forbidden) != std::string::npos ||
+                request.body().find(options_.forbidden) != std::string::npos;
+    for (const auto& field : request) {
+        seen = seen || std::string(field.value()).find(options_.forbidden) != std::string::npos;
+    }
+    forbidden_seen_ += seen ? 1 : 0;
+}
+
+// A small generator of its own, so that a run can be repeated.
+bool target_behaviour::draw(double share) {
+    random_state_ ^= random_state_ << 13U;
+    random_state_ ^= random_state_ >> 7U;
+    random_state_ ^= random_state_ << 17U;
+    constexpr double range = 1e6;
+    return static_cast<double>(random_state_ % 1000000) < share * range;
+}
+
+http_response target_behaviour::control(const std::string& body) {
+    const json source = json::parse(body, nullptr, false);
+    if (!source.is_object()) {
+        return dandelionmount::make_text_answer(400, "text/plain", "JSON needed\n");
+    }
+    options_.service_ms = source.value("service_ms", options_.service_ms);
+    options_.slots = source.value("slots", options_.slots);
+    options_.announced_slots = source.value("announced_slots", options_.announced_slots);
+    options_.state = source.value("state", options_.state);
+    options_.fail_share = source.value("fail_share", options_.fail_share);
+    options_.cut_share = source.value("cut_share", options_.cut_share);
+    options_.announces = source.value("announces", options_.announces);
+    options_.keeps_context = source.value("keeps_context", options_.keeps_context);
+    options_.calls = source.value("calls", options_.calls);
+    options_.forbidden = source.value("forbidden", options_.forbidden);
+    return dandelionmount::make_text_answer(ok, "text/plain", "");
+}
+
+http_response target_behaviour::report() const {
+    int most = 0;
+    std::uint64_t total = 0;
+    for (const auto& [id, count] : runs_) {
+        most = std::max(most, id.empty() ? 0 : count);
+        total += static_cast<std::uint64_t>(count);
+    }
+    const json body{{"total", total},         {"most_for_one_request", most}, {"finished", finished_},
+                    {"cancelled", cancelled_}, {"forbidden_seen", forbidden_seen_}, {"runs", runs_},
+                    {"paths", paths_}};
+    return dandelionmount::make_text_answer(ok, "application/json", body.dump());
+}
+
+asio::awaitable<void> target_behaviour::announce() {
+    const auto colon = options_.address.rfind(':');
+    const int port = std::stoi(options_.address.substr(colon + 1));
+    while (true) {
+        if (options_.announces) {
+            const json body{{"service", options_.service},
+                            {"port", port},
+                            {"slots", options_.announced_slots},
+                            {"connections", options_.announced_slots * 4},
+                            {"state", options_.state}};
+            http_request request{http::verb::put, "/announce", 11};
+            request.body() = body.dump();
+            co_await dandelionmount::http_exchange(options_.node_address, request, announce_interval, most_answer);
+        }
+        co_await dandelionmount::sleep_for(executor_, announce_interval);
+    }
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/target_behaviour.h
@@ -0,0 +1,79 @@
+#ifndef DANDELIONMOUNT_STANDINS_TARGET_BEHAVIOUR_H
+#define DANDELIONMOUNT_STANDINS_TARGET_BEHAVIOUR_H
+
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/http_headers.h"
+#include "dandelionmount/process/clock.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace standins {
+
+/// How a stand-in target behaves; `POST /control` changes it while it runs.
+struct target_options {
+    std::string service;
+    /// "IP:PORT" of its own and of its node's target port.
+    std::string address;
+    std::string node_address;
+    std::uint32_t slots{50};
+    std::uint32_t announced_slots{50};
+    std::string state{"ready"};
+    int service_ms{2};
+    /// Share of requests that are answered with status 500 at once.
+    double fail_share{0};
+    /// Share of answers that are cut short.
+    double cut_share{0};
+    bool announces{true};
+    /// Whether calls name the request that they belong to.
+    bool keeps_context{true};
+    /// Paths of calls that each request makes, one after another.
+    std::vector<std::string> calls;
+    /// Text that no request may contain.
+    std::string forbidden;
+};
+
+/// A stand-in target: takes requests, works on as many as it has slots, calls others, counts runs.
+class target_behaviour {
+public:
+    target_behaviour(boost::asio::any_io_executor executor, target_options options);
+
+    boost::asio::awaitable<dandelionmount::http_response>
+    answer(dandelionmount::http_request request, std::shared_ptr<dandelionmount::cancel_token> cancel);
+    /// Announces the target to its node, again and again.
+    boost::asio::awaitable<void> announce();
+    [[nodiscard]] target_options& options() { return options_; }
+    /// Runs by the request id that came with them.
+    [[nodiscard]] const std::map<std::string, int>& runs() const { return runs_; }
+
+private:
+    boost::asio::awaitable<dandelionmount::http_response>
+    work(dandelionmount::http_request request, std::shared_ptr<dandelionmount::cancel_token> cancel);
+    boost::asio::awaitable<bool> call_others(std::string request_id, std::string timeout, std::string& body);
+    boost::asio::awaitable<void> take_slot();
+    void give_slot();
+    [[nodiscard]] dandelionmount::http_response control(const std::string& body);
+    [[nodiscard]] dandelionmount::http_response report() const;
+    void look_for_forbidden(const dandelionmount::http_request& request);
+    [[nodiscard]] bool draw(double share);
+
+    boost::asio::any_io_executor executor_;
+    target_options options_;
+    std::uint32_t busy_{0};
+    std::deque<std::shared_ptr<dandelionmount::async_event>> waiting_;
+    std::map<std::string, int> runs_;
+    std::map<std::string, int> paths_;
+    std::uint64_t finished_{0};
+    std::uint64_t cancelled_{0};
+    std::uint64_t forbidden_seen_{0};
+    std::uint64_t random_state_{0x9E3779B97F4A7C15ULL};
+};
+
+} // namespace standins
+
+#endif
