--- a/src/dandelionctl/commands.cpp
+++ b/src/dandelionctl/commands.cpp
@@ -44,7 +44,8 @@
     exit_code counters();
 
 private:
-    Json::Value call(const std::string& method, const Json::Value& parameters = Json::Value(Json::objectValue));
+    Json::Value call(const std::string& method,
+                     const Json::Value& parameters = Json::Value(Json::objectValue));
     void print(const Json::Value& value, const std::string& text) const;
     std::optional<dandelionmount::configuration> read_files();
     exit_code wait_for_change(const std::string& change_id);
@@ -236,7 +237,8 @@
 
 exit_code command::show() {
     const Json::Value answer = call("show");
-    print(answer, "# version " + answer["document_version"].asString() + "\n" + answer["document"].asString());
+    print(answer,
+          "# version " + answer["document_version"].asString() + "\n" + answer["document"].asString());
     return exit_code::done;
 }
 
@@ -270,7 +272,8 @@
 
 exit_code command::accounts() {
     const Json::Value answer = call("show");
-    const auto read = dandelionmount::read_configuration({"shown", answer["document"].asString()}, std::nullopt);
+    const auto read =
+        dandelionmount::read_configuration({"shown", answer["document"].asString()}, std::nullopt);
     Json::Value values(Json::arrayValue);
     std::string text;
     if (read.value) {
--- a/src/dandelionctl/rpc_client.cpp
+++ b/src/dandelionctl/rpc_client.cpp
@@ -1,4 +1,5 @@
-// Compiled as C++14: the library's client headers use exception specifications that later standards don't have.
+// Compiled as C++14: the library's client headers use exception specifications that later standards don't
+// have.
 
 #include "dandelionctl/rpc_client.h"
 
@@ -11,7 +12,8 @@
 class transport_connector : public jsonrpc::IClientConnector {
 public:
     explicit transport_connector(const rpc_transport& transport) : transport_(transport) {}
-    void SendRPCMessage(const std::string& message, std::string& result) throw(jsonrpc::JsonRpcException) override {
+    void SendRPCMessage(const std::string& message,
+                        std::string& result) throw(jsonrpc::JsonRpcException) override {
         if (!transport_(message, result)) {
             throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, result);
         }
@@ -23,7 +25,8 @@
 
 } // namespace
 
-rpc_answer rpc_call(const rpc_transport& transport, const std::string& method, const Json::Value& parameters) {
+rpc_answer rpc_call(const rpc_transport& transport, const std::string& method,
+                    const Json::Value& parameters) {
     transport_connector connector(transport);
     jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
     try {
--- a/src/dandelionmount/connection/caller_server.h
+++ b/src/dandelionmount/connection/caller_server.h
@@ -34,8 +34,8 @@
     [[nodiscard]] http_server& server() { return server_; }
 
 private:
-    /// What the checks of a request came to: who called and where it goes, or why it is refused. The route is a
-    /// copy, as a later version may replace it while the request runs.
+    /// What the checks of a request came to: who called and where it goes, or why it is refused. The route is
+    /// a copy, as a later version may replace it while the request runs.
     struct checked_request {
         reason why{reason::none};
         route_settings route;
--- a/src/dandelionmount/connection/http_client.h
+++ b/src/dandelionmount/connection/http_client.h
@@ -10,8 +10,8 @@
 
 namespace dandelionmount {
 
-/// Sends one request on a connection of its own to "IP:PORT" and reads the whole answer within the limit. Fails
-/// with the step that went wrong; the request may then have been taken nevertheless.
+/// Sends one request on a connection of its own to "IP:PORT" and reads the whole answer within the limit.
+/// Fails with the step that went wrong; the request may then have been taken nevertheless.
 boost::asio::awaitable<result<http_response>> http_exchange(std::string address, http_request request,
                                                             duration limit, std::size_t most_answer_bytes);
 
--- a/src/dandelionmount/connection/http_headers.cpp
+++ b/src/dandelionmount/connection/http_headers.cpp
@@ -21,7 +21,9 @@
 constexpr double return_spread = 1.0;
 constexpr unsigned hex_base = 16;
 
-std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
+std::string_view view(beast::string_view text) {
+    return {text.data(), text.size()};
+}
 
 bool has_dandelion_prefix(std::string_view name) {
     return name.size() >= dandelion_prefix.size() &&
@@ -31,12 +33,18 @@
 
 // Headers that belong to one connection. Source: RFC 9110, section 7.6.1.
 bool is_hop_header(http::field name) {
-    static const std::set<http::field> fields = {
-        http::field::connection,       http::field::keep_alive,   http::field::proxy_authenticate,
-        http::field::proxy_connection, http::field::te,           http::field::proxy_authorization,
-        http::field::trailer,          http::field::transfer_encoding,
-        http::field::upgrade,          http::field::content_length,
-        http::field::expect,           http::field::host};
+    static const std::set<http::field> fields = {http::field::connection,
+                                                 http::field::keep_alive,
+                                                 http::field::proxy_authenticate,
+                                                 http::field::proxy_connection,
+                                                 http::field::te,
+                                                 http::field::proxy_authorization,
+                                                 http::field::trailer,
+                                                 http::field::transfer_encoding,
+                                                 http::field::upgrade,
+                                                 http::field::content_length,
+                                                 http::field::expect,
+                                                 http::field::host};
     return fields.contains(name);
 }
 
@@ -60,7 +68,9 @@
     return decoded;
 }
 
-bool contains(std::string_view text, std::string_view part) { return text.find(part) != std::string_view::npos; }
+bool contains(std::string_view text, std::string_view part) {
+    return text.find(part) != std::string_view::npos;
+}
 
 void set_retry_after(http_response& response, duration retry_after) {
     static std::mt19937_64 random{std::random_device{}()};
@@ -121,8 +131,8 @@
         return true;
     }
     for (const auto& field : request) {
-        const bool dropped = field.name() == http::field::authorization ||
-                             has_dandelion_prefix(view(field.name_string()));
+        const bool dropped =
+            field.name() == http::field::authorization || has_dandelion_prefix(view(field.name_string()));
         if (!dropped && contains(view(field.value()), key)) {
             return true;
         }
--- a/src/dandelionmount/connection/http_headers.h
+++ b/src/dandelionmount/connection/http_headers.h
@@ -25,9 +25,11 @@
 
 /// The key of `Authorization: Bearer KEY`; nothing when there is none.
 [[nodiscard]] std::optional<std::string> bearer_key(const http_request& request);
-/// The milliseconds of `Dandelion-Timeout`; nothing when it is absent, fails when it is not a positive number.
+/// The milliseconds of `Dandelion-Timeout`; nothing when it is absent, fails when it is not a positive
+/// number.
 [[nodiscard]] std::optional<std::uint32_t> timeout_of(const http_request& request, bool& valid);
-/// Whether the key stands anywhere in the request but in its authorization: path, query, headers, trailers, body.
+/// Whether the key stands anywhere in the request but in its authorization: path, query, headers, trailers,
+/// body.
 [[nodiscard]] bool exposes_key(const http_request& request, std::string_view key);
 /// Copies the headers that a target may see: no key, nothing of this hop, no Dandelion-* of the caller.
 void copy_request_headers(const http_request& request, wire::forward_request& forwarded);
--- a/src/dandelionmount/connection/http_server.cpp
+++ b/src/dandelionmount/connection/http_server.cpp
@@ -36,9 +36,6 @@
     if (error == http::error::body_limit) {
         return reason::body_too_large;
     }
-    if (error == boost::beast::error::timeout) {
-        return reason::slow_caller;
-    }
     const bool parse_error = error.category() == make_error_code(http::error::bad_method).category();
     const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
     return parse_error && !ended ? reason::bad_request : reason::none;
@@ -129,40 +126,28 @@
 }
 
 asio::awaitable<http_server::receive_outcome> http_server::receive(connection_pointer conn,
-                                                                  http_request& request) {
+                                                                   http_request& request) {
+    const auto first_error = co_await wait_for_first_bytes(conn);
+    if (first_error) {
+        co_return receive_outcome::ended;
+    }
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits_.header_bytes);
     parser.body_limit(limits_.body_bytes);
-    boost::system::error_code error;
-    if (conn->buffer.size() == 0) {
-        conn->idle = true;
-        conn->stream.expires_after(limits_.idle);
-        constexpr std::size_t first_bytes = 4096;
-        auto [read_error, count] =
-            co_await conn->stream.async_read_some(conn->buffer.prepare(first_bytes), as_result);
-        conn->buffer.commit(count);
-        conn->idle = false;
-        if (read_error) {
-            co_return receive_outcome::ended;
+    // A timer of its own, as the stream's would close the connection before the refusal can be sent.
+    conn->stream.expires_never();
+    conn->too_slow = false;
+    asio::steady_timer limit(executor_, limits_.receive);
+    limit.async_wait([conn](const boost::system::error_code& stopped) {
+        if (!stopped) {
+            conn->too_slow = true;
+            conn->stream.cancel();
         }
-    }
-    conn->stream.expires_after(limits_.receive);
-    auto [header_error, header_count] =
-        co_await http::async_read_header(conn->stream, conn->buffer, parser, as_result);
-    error = header_error;
-    const bool expects = !error && parser.get().count(http::field::expect) > 0;
-    if (expects && !parser.is_done()) {
-        auto [continue_error, written] = co_await asio::async_write(
-            conn->stream, asio::buffer(continue_line.data(), continue_line.size()), as_result);
-        error = continue_error;
-    }
-    if (!error) {
-        auto [body_error, body_count] =
-            co_await http::async_read(conn->stream, conn->buffer, parser, as_result);
-        error = body_error;
-    }
+    });
+    const auto error = co_await read_request(conn, parser);
+    limit.cancel();
     if (error) {
-        const reason why = receive_failure(error);
+        const reason why = conn->too_slow ? reason::slow_caller : receive_failure(error);
         if (why != reason::none) {
             co_await refuse(conn, why);
         }
@@ -172,6 +157,37 @@
     co_return receive_outcome::request;
 }
 
+asio::awaitable<boost::system::error_code> http_server::wait_for_first_bytes(connection_pointer conn) {
+    if (conn->buffer.size() > 0) {
+        co_return boost::system::error_code{};
+    }
+    constexpr std::size_t first_bytes = 4096;
+    conn->idle = true;
+    conn->stream.expires_after(limits_.idle);
+    auto [error, count] = co_await conn->stream.async_read_some(conn->buffer.prepare(first_bytes), as_result);
+    conn->buffer.commit(count);
+    conn->idle = false;
+    co_return error;
+}
+
+asio::awaitable<boost::system::error_code>
+http_server::read_request(connection_pointer conn, http::request_parser<http::string_body>& parser) {
+    auto [header_error, header_count] =
+        co_await http::async_read_header(conn->stream, conn->buffer, parser, as_result);
+    if (header_error) {
+        co_return header_error;
+    }
+    if (parser.get().count(http::field::expect) > 0 && !parser.is_done()) {
+        auto [continue_error, written] = co_await asio::async_write(
+            conn->stream, asio::buffer(continue_line.data(), continue_line.size()), as_result);
+        if (continue_error) {
+            co_return continue_error;
+        }
+    }
+    auto [body_error, body_count] = co_await http::async_read(conn->stream, conn->buffer, parser, as_result);
+    co_return body_error;
+}
+
 asio::awaitable<bool> http_server::answer(connection_pointer conn, http_request request) {
     const bool keep_alive = request.keep_alive();
     const unsigned version = request.version();
@@ -190,7 +206,7 @@
         co_return false;
     }
     response.version(version);
-    response.keep_alive(keep_alive && !draining_);
+    response.keep_alive(keep_alive && response.keep_alive() && !draining_);
     conn->stream.expires_after(write_limit);
     http::response_serializer<http::string_body> serializer(response);
     serializer.split(head);
@@ -218,15 +234,14 @@
     std::array<char, 4096> rest{};
     boost::system::error_code error = write_error;
     while (!error) {
-        auto [read_error, read_count] =
-            co_await conn->stream.async_read_some(asio::buffer(rest), as_result);
+        auto [read_error, read_count] = co_await conn->stream.async_read_some(asio::buffer(rest), as_result);
         error = read_error;
     }
 }
 
 // Notices a caller that went away while its request is worked on. The end of its stream alone doesn't say so,
-// since a caller may close its sending side and still read: an interim answer, legal at any time, is then sent,
-// and a caller that is really gone resets the connection.
+// since a caller may close its sending side and still read: an interim answer, legal at any time, is then
+// sent, and a caller that is really gone resets the connection.
 asio::awaitable<void> http_server::watch(connection_pointer conn, std::shared_ptr<cancel_token> cancel,
                                          std::shared_ptr<bool> done) {
     tcp::socket& socket = conn->stream.socket();
--- a/src/dandelionmount/connection/http_server.h
+++ b/src/dandelionmount/connection/http_server.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <memory>
 #include <set>
@@ -44,6 +45,8 @@
         boost::beast::tcp_stream stream;
         boost::beast::flat_buffer buffer;
         bool idle{true};
+        /// Whether the request took too long to arrive.
+        bool too_slow{false};
     };
     using connection_pointer = std::shared_ptr<connection>;
     enum class receive_outcome { request, refused, ended };
@@ -51,6 +54,10 @@
     boost::asio::awaitable<void> accept_connections();
     boost::asio::awaitable<void> serve(connection_pointer conn);
     boost::asio::awaitable<receive_outcome> receive(connection_pointer conn, http_request& request);
+    boost::asio::awaitable<boost::system::error_code> wait_for_first_bytes(connection_pointer conn);
+    boost::asio::awaitable<boost::system::error_code>
+    read_request(connection_pointer conn,
+                 boost::beast::http::request_parser<boost::beast::http::string_body>& parser);
     boost::asio::awaitable<bool> answer(connection_pointer conn, http_request request);
     boost::asio::awaitable<void> refuse(connection_pointer conn, reason why);
     boost::asio::awaitable<void> watch(connection_pointer conn, std::shared_ptr<cancel_token> cancel,
--- a/src/dandelionmount/connection/operator_server.cpp
+++ b/src/dandelionmount/connection/operator_server.cpp
@@ -43,7 +43,8 @@
     if (request.method() == http::verb::post) {
         co_return make_text_answer(ok, "application/json", connector_.answer(request.body()));
     }
-    co_return make_text_answer(not_found, "text/plain", "GET /metrics, GET /status or POST / with JSON-RPC 2.0\n");
+    co_return make_text_answer(not_found, "text/plain",
+                               "GET /metrics, GET /status or POST / with JSON-RPC 2.0\n");
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -58,9 +58,13 @@
     return "s" + std::string(id) + "." + std::to_string(attempt);
 }
 
-std::string token_key(std::uint64_t grant_id) { return "t" + std::to_string(grant_id); }
+std::string token_key(std::uint64_t grant_id) {
+    return "t" + std::to_string(grant_id);
+}
 
-std::string call_key(std::uint64_t call) { return "c" + std::to_string(call); }
+std::string call_key(std::uint64_t call) {
+    return "c" + std::to_string(call);
+}
 
 wire::forward_reply make_reply(const wire::forward_request& request, wire::forward_outcome outcome,
                                reason why) {
@@ -214,8 +218,8 @@
     return pending;
 }
 
-asio::awaitable<std::optional<wire::peer_frame>> peer_link::call(wire::peer_frame frame, std::string reply_key,
-                                                                 steady_time deadline) {
+asio::awaitable<std::optional<wire::peer_frame>>
+peer_link::call(wire::peer_frame frame, std::string reply_key, steady_time deadline) {
     auto self = shared_from_this();
     const auto connected = co_await wait_connected(deadline);
     if (connected != connect_outcome::connected) {
@@ -282,14 +286,15 @@
             co_return make_reply(request, wire::not_run, reason::peer_lost);
         }
         if (settled == settle_outcome::unknown) {
-            co_return make_reply(request, wire::unknown, reason::peer_lost);
+            const bool late = context_.time.now() >= deadline;
+            co_return make_reply(request, wire::unknown, late ? reason::deadline : reason::peer_lost);
         }
     }
 }
 
 // Asks on a new connection what became of a request whose connection was lost.
-asio::awaitable<peer_link::settle_outcome> peer_link::settle(const wire::forward_request& request,
-                                                             std::uint64_t incarnation, steady_time deadline) {
+asio::awaitable<peer_link::settle_outcome>
+peer_link::settle(const wire::forward_request& request, std::uint64_t incarnation, steady_time deadline) {
     const auto give_up = std::min(deadline, context_.time.now() + settle_limit);
     while (context_.time.now() < give_up) {
         const auto connected = co_await wait_connected(give_up);
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -20,7 +20,8 @@
     const peer_identity& self;
     const time_source& time;
     metrics& counters;
-    /// Whether lost connections are followed by the question what became of a request. Off only in benchmarks.
+    /// Whether lost connections are followed by the question what became of a request. Off only in
+    /// benchmarks.
     bool settles{true};
 };
 
@@ -29,13 +30,14 @@
 public:
     peer_link(peer_link_context context, std::string host, std::string address);
 
-    /// Sends a request and waits for its outcome until the deadline. A lost connection is followed by another, on
-    /// which the outcome is asked for. The answer is `unknown` only where nothing else can be proved.
+    /// Sends a request and waits for its outcome until the deadline. A lost connection is followed by
+    /// another, on which the outcome is asked for. The answer is `unknown` only where nothing else can be
+    /// proved.
     boost::asio::awaitable<wire::forward_reply> forward(wire::forward_request request, steady_time deadline,
                                                         std::shared_ptr<cancel_token> cancel);
     /// Sends a frame that is answered by one with the same number; nothing when there is no answer in time.
-    boost::asio::awaitable<std::optional<wire::peer_frame>> call(wire::peer_frame frame, std::string reply_key,
-                                                                 steady_time deadline);
+    boost::asio::awaitable<std::optional<wire::peer_frame>> call(wire::peer_frame frame,
+                                                                 std::string reply_key, steady_time deadline);
     /// Closes the connection and opens none any more.
     void stop();
     [[nodiscard]] const std::string& address() const { return address_; }
--- a/src/dandelionmount/connection/target_connection.cpp
+++ b/src/dandelionmount/connection/target_connection.cpp
@@ -79,8 +79,8 @@
                                                               const wire::forward_request& request,
                                                               steady_time deadline,
                                                               std::shared_ptr<cancel_token> cancel) {
-    // A target may close an idle connection just as a request is sent on it, and nobody could tell whether the
-    // request ran: only requests that may run twice take that risk.
+    // A target may close an idle connection just as a request is sent on it, and nobody could tell whether
+    // the request ran: only requests that may run twice take that risk.
     connection_pointer conn = request.idempotent() ? take_idle() : nullptr;
     const bool fresh = conn == nullptr;
     if (fresh) {
@@ -113,9 +113,8 @@
     co_return reply;
 }
 
-asio::awaitable<wire::forward_reply> target_connections::exchange(connection_pointer conn,
-                                                                  const wire::forward_request& request,
-                                                                  duration left) {
+asio::awaitable<wire::forward_reply>
+target_connections::exchange(connection_pointer conn, const wire::forward_request& request, duration left) {
     const http_request made = make_target_request(request, left);
     auto [write_error, written] = co_await http::async_write(conn->stream, made, as_result);
     if (write_error) {
--- a/src/dandelionmount/connection/target_connection.h
+++ b/src/dandelionmount/connection/target_connection.h
@@ -22,9 +22,9 @@
     target_connections(boost::asio::any_io_executor executor, const time_source& time,
                        std::size_t most_answer_bytes);
 
-    /// Sends the request to the target and waits for its whole answer. Only an answer that is framed and complete
-    /// is `ran`; `not_run` is said only when the request was not sent. The token closes the connection, by which
-    /// the target learns that the call is cancelled.
+    /// Sends the request to the target and waits for its whole answer. Only an answer that is framed and
+    /// complete is `ran`; `not_run` is said only when the request was not sent. The token closes the
+    /// connection, by which the target learns that the call is cancelled.
     boost::asio::awaitable<wire::forward_reply> call(boost::asio::ip::tcp::endpoint target,
                                                      const wire::forward_request& request,
                                                      steady_time deadline,
@@ -42,8 +42,7 @@
 
     [[nodiscard]] connection_pointer take_idle();
     boost::asio::awaitable<wire::forward_reply> exchange(connection_pointer conn,
-                                                         const wire::forward_request& request,
-                                                         duration left);
+                                                         const wire::forward_request& request, duration left);
 
     boost::asio::any_io_executor executor_;
     const time_source& time_;
--- a/src/dandelionmount/process/admission_queue.cpp
+++ b/src/dandelionmount/process/admission_queue.cpp
@@ -14,7 +14,8 @@
     }
 }
 
-double least_turn(const admission_queue::account_queues& accounts, const std::map<std::string, double>& turns) {
+double least_turn(const admission_queue::account_queues& accounts,
+                  const std::map<std::string, double>& turns) {
     double least = std::numeric_limits<double>::max();
     for (const auto& [account, requests] : accounts) {
         const auto turn = turns.find(account);
--- a/src/dandelionmount/process/claim_service.cpp
+++ b/src/dandelionmount/process/claim_service.cpp
@@ -61,7 +61,8 @@
     ask.set_fingerprint(fingerprint);
     const auto owners = choose_claim_owners(name, context_.configuration.zones());
     for (int round = 1;; ++round) {
-        // Each round claims under a name of its own, so that a late release of an earlier round takes nothing away.
+        // Each round claims under a name of its own, so that a late release of an earlier round takes nothing
+        // away.
         const std::string holder = request_id + "#" + std::to_string(round);
         ask.set_request_id(holder);
         const tally seen = co_await ask_owners(ask, owners);
@@ -202,7 +203,8 @@
     stream->send(frame);
 }
 
-// Hands over the records that the asking slot has to have. Those of keys that the asker does not own stay here.
+// Hands over the records that the asking slot has to have. Those of keys that the asker does not own stay
+// here.
 void claim_service::answer(const wire::claim_copy_request& ask, std::shared_ptr<frame_stream> stream) {
     const auto now = context_.time.now();
     const std::string slot = slot_name(ask.zone(), ask.slot());
@@ -271,8 +273,7 @@
     ask->set_call(next_call_++);
     ask->set_zone(context_.members.self.zone());
     ask->set_slot(context_.members.self.slot());
-    const auto reply =
-        co_await link->call(frame, call_key(ask->call()), context_.time.now() + copy_limit);
+    const auto reply = co_await link->call(frame, call_key(ask->call()), context_.time.now() + copy_limit);
     if (!reply || !reply->claim_copy_reply().complete()) {
         co_return false;
     }
--- a/src/dandelionmount/process/claim_service.h
+++ b/src/dandelionmount/process/claim_service.h
@@ -35,9 +35,9 @@
 
 /// Lets one request run for each idempotency key, at whichever host its repeats arrive.
 ///
-/// A key is recorded at a few host slots in different zones, and a request runs only when more than half of them
-/// have granted it the key. A process that is new in its slot grants no key before it has copied the records of
-/// its predecessor from all other hosts, or the window has passed in which records matter.
+/// A key is recorded at a few host slots in different zones, and a request runs only when more than half of
+/// them have granted it the key. A process that is new in its slot grants no key before it has copied the
+/// records of its predecessor from all other hosts, or the window has passed in which records matter.
 class claim_service {
 public:
     explicit claim_service(claim_service_context context);
--- a/src/dandelionmount/process/clock.cpp
+++ b/src/dandelionmount/process/clock.cpp
@@ -4,9 +4,13 @@
 
 namespace dandelionmount {
 
-steady_time system_time_source::now() const { return std::chrono::steady_clock::now(); }
+steady_time system_time_source::now() const {
+    return std::chrono::steady_clock::now();
+}
 
-double to_seconds(duration value) { return std::chrono::duration<double>(value).count(); }
+double to_seconds(duration value) {
+    return std::chrono::duration<double>(value).count();
+}
 
 duration from_seconds(double seconds) {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
--- a/src/dandelionmount/process/configuration_store.h
+++ b/src/dandelionmount/process/configuration_store.h
@@ -22,7 +22,8 @@
     std::string key_id;
 };
 
-/// The configuration that is in force in this process, and the keys withdrawn besides. Its version only rises.
+/// The configuration that is in force in this process, and the keys withdrawn besides. Its version only
+/// rises.
 class configuration_store {
 public:
     /// `zones` counts until the configuration names zones itself.
--- a/src/dandelionmount/process/crypto.cpp
+++ b/src/dandelionmount/process/crypto.cpp
@@ -59,7 +59,9 @@
     return bytes;
 }
 
-std::string random_token() { return to_hex(random_bytes(token_bytes)); }
+std::string random_token() {
+    return to_hex(random_bytes(token_bytes));
+}
 
 std::uint64_t random_number() {
     std::uint64_t number = 0;
--- a/src/dandelionmount/process/gossip_service.cpp
+++ b/src/dandelionmount/process/gossip_service.cpp
@@ -145,8 +145,8 @@
     }
 }
 
-// Asks one address at which a host should be that is not known to be alive, so that parts of the fleet which lost
-// each other find together again.
+// Asks one address at which a host should be that is not known to be alive, so that parts of the fleet which
+// lost each other find together again.
 void gossip_service::look_for_hosts() {
     std::set<std::string> alive{context_.members.self.address()};
     std::vector<std::string> addresses = context_.seeds;
--- a/src/dandelionmount/process/gossip_service.h
+++ b/src/dandelionmount/process/gossip_service.h
@@ -40,7 +40,8 @@
     std::set<std::string, std::less<>> pending_withdrawals;
 };
 
-/// Learns which hosts are alive, and spreads changes between hosts, by datagrams that carry a proof of the secret.
+/// Learns which hosts are alive, and spreads changes between hosts, by datagrams that carry a proof of the
+/// secret.
 class gossip_service {
 public:
     explicit gossip_service(gossip_context context);
@@ -53,10 +54,14 @@
     /// Probes every host that is alive, to hear of its configuration.
     void probe_all();
     /// Called with a host that has a later configuration.
-    void on_later_configuration(std::function<void(const std::string&)> action) { on_later_ = std::move(action); }
+    void on_later_configuration(std::function<void(const std::string&)> action) {
+        on_later_ = std::move(action);
+    }
     /// Called when the set of hosts or their targets changed.
     void on_member_change(std::function<void()> action) { on_members_ = std::move(action); }
-    [[nodiscard]] const std::map<std::string, heard_configuration, std::less<>>& heard() const { return heard_; }
+    [[nodiscard]] const std::map<std::string, heard_configuration, std::less<>>& heard() const {
+        return heard_;
+    }
 
 private:
     struct probe {
--- a/src/dandelionmount/process/log_reader.cpp
+++ b/src/dandelionmount/process/log_reader.cpp
@@ -169,7 +169,8 @@
     while (!stopped_ && slot_holder_incarnation() < self.incarnation()) {
         const slot_holder holder{self.host(), self.incarnation(), self.address()};
         context_.counters.count(event::log_appends);
-        const auto appended = co_await context_.log.append(make_holder_record(self.zone(), self.slot(), holder));
+        const auto appended =
+            co_await context_.log.append(make_holder_record(self.zone(), self.slot(), holder));
         if (appended) {
             backoff = most_backoff;
         }
--- a/src/dandelionmount/process/log_reader.h
+++ b/src/dandelionmount/process/log_reader.h
@@ -46,7 +46,9 @@
     /// Appends a change until the log's order has decided on it; an answer that is lost does no harm.
     void submit(std::string change_id, std::string record);
     /// Whether a submitted change is still on its way.
-    [[nodiscard]] bool is_submitted(const std::string& change_id) const { return submitted_.contains(change_id); }
+    [[nodiscard]] bool is_submitted(const std::string& change_id) const {
+        return submitted_.contains(change_id);
+    }
     /// When the log was last read.
     [[nodiscard]] steady_time last_read() const { return last_read_; }
 
--- a/src/dandelionmount/process/metrics.cpp
+++ b/src/dandelionmount/process/metrics.cpp
@@ -9,17 +9,28 @@
 constexpr std::array<double, 2> quantiles = {0.5, 0.99};
 
 constexpr std::array<std::string_view, event_count> event_names = {
-    "caller_connections", "caller_requests",
-    "answers",            "outcomes_unknown",
-    "attempts",           "target_calls",
-    "settle_questions",   "settle_proved",
-    "cancels",            "duplicate_requests_joined",
-    "peer_connections",   "peer_strangers",
-    "peer_malformed",     "datagrams_sent",
-    "datagrams_received", "datagram_bytes_sent",
-    "datagrams_rejected", "token_requests",
-    "tokens_granted",     "log_appends",
-    "log_failures",       "configuration_changes",
+    "caller_connections",
+    "caller_requests",
+    "answers",
+    "outcomes_unknown",
+    "attempts",
+    "target_calls",
+    "settle_questions",
+    "settle_proved",
+    "cancels",
+    "duplicate_requests_joined",
+    "peer_connections",
+    "peer_strangers",
+    "peer_malformed",
+    "datagrams_sent",
+    "datagrams_received",
+    "datagram_bytes_sent",
+    "datagrams_rejected",
+    "token_requests",
+    "tokens_granted",
+    "log_appends",
+    "log_failures",
+    "configuration_changes",
     "members_declared_dead",
 };
 
@@ -53,7 +64,9 @@
 
 duration_summary::duration_summary() : values_(accumulators::extended_p_square_probabilities = quantiles) {}
 
-void duration_summary::add(duration value) { values_(to_seconds(value)); }
+void duration_summary::add(duration value) {
+    values_(to_seconds(value));
+}
 
 void duration_summary::render(std::string& text, std::string_view name) const {
     text.append("# TYPE dandelionmount_").append(name).append(" summary\n");
@@ -66,17 +79,29 @@
     render_count(text, std::string(name) + "_count", "", accumulators::count(values_));
 }
 
-void metrics::refused(reason why) { ++refusals_.at(static_cast<std::size_t>(why)); }
+void metrics::refused(reason why) {
+    ++refusals_.at(static_cast<std::size_t>(why));
+}
 
-void metrics::retried(reason why) { ++retries_.at(static_cast<std::size_t>(why)); }
+void metrics::retried(reason why) {
+    ++retries_.at(static_cast<std::size_t>(why));
+}
 
-void metrics::count(event what, std::uint64_t by) { events_.at(static_cast<std::size_t>(what)) += by; }
+void metrics::count(event what, std::uint64_t by) {
+    events_.at(static_cast<std::size_t>(what)) += by;
+}
 
-std::uint64_t metrics::refusals(reason why) const { return refusals_.at(static_cast<std::size_t>(why)); }
+std::uint64_t metrics::refusals(reason why) const {
+    return refusals_.at(static_cast<std::size_t>(why));
+}
 
-std::uint64_t metrics::retries(reason why) const { return retries_.at(static_cast<std::size_t>(why)); }
+std::uint64_t metrics::retries(reason why) const {
+    return retries_.at(static_cast<std::size_t>(why));
+}
 
-std::uint64_t metrics::counted(event what) const { return events_.at(static_cast<std::size_t>(what)); }
+std::uint64_t metrics::counted(event what) const {
+    return events_.at(static_cast<std::size_t>(what));
+}
 
 std::string metrics::render() const {
     std::string text;
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -21,7 +21,8 @@
 constexpr duration quiet_poll = std::chrono::milliseconds(10);
 constexpr int upkeep_rounds_of_second = 10;
 
-// Later processes have higher numbers, so the clock of a host must not go back behind its predecessor's start.
+// Later processes have higher numbers, so the clock of a host must not go back behind its predecessor's
+// start.
 std::uint64_t make_incarnation() {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
@@ -58,16 +59,17 @@
       log_reader_({io.get_executor(), time, counters_, log, configuration_, members_, peers_, lease_, claims_,
                    random_}),
       operator_service_({time, counters_, configuration_, members_, lease_, gossip_, log_reader_, claims_,
-                         target_, [this](bool on) {
+                         target_,
+                         [this](bool on) {
                              draining_ = on;
                              publish_target();
                          }},
                         rpc_connector_),
-      peer_server_(io.get_executor(), identity_, counters_,
-                   [this](const wire::peer_frame& frame, const peer_name& from,
-                          std::shared_ptr<frame_stream> stream) {
-                       handle_frame(frame, from, std::move(stream));
-                   }),
+      peer_server_(
+          io.get_executor(), identity_, counters_,
+          [this](const wire::peer_frame& frame, const peer_name& from, std::shared_ptr<frame_stream> stream) {
+              handle_frame(frame, from, std::move(stream));
+          }),
       caller_server_({time, counters_, configuration_, rates_, claims_, dispatcher_}, io.get_executor(),
                      own.limits),
       target_server_({time, counters_, configuration_, target_, executor_, dispatcher_}, io.get_executor(),
@@ -88,8 +90,7 @@
     for (const auto& opened :
          {peer_server_.listen(settings_.peer_address), gossip_.listen(settings_.peer_address),
           operator_server_.listen(settings_.operator_address),
-          target_server_.listen(settings_.target_address),
-          caller_server_.listen(settings_.caller_address)}) {
+          target_server_.listen(settings_.target_address), caller_server_.listen(settings_.caller_address)}) {
         if (!opened) {
             return opened;
         }
@@ -188,8 +189,8 @@
     log_event(log_level::info, "stopping", {{"host", settings_.host}});
     stopping_ = true;
     const auto deadline = time_.now() + settings_.stop_wait;
-    // Peers hear first that no new work should come; what still arrives is refused as not run, and they send it
-    // to another host.
+    // Peers hear first that no new work should come; what still arrives is refused as not run, and they send
+    // it to another host.
     publish_target();
     gossip_.probe_all();
     caller_server_.server().drain();
--- a/src/dandelionmount/process/node.h
+++ b/src/dandelionmount/process/node.h
@@ -32,8 +32,8 @@
 
     /// Opens all ports and starts; fails with the system's message.
     result<void> start();
-    /// Stops without cutting off any request: tells the peers, finishes what runs, and leaves. The context runs
-    /// out of work when it is done.
+    /// Stops without cutting off any request: tells the peers, finishes what runs, and leaves. The context
+    /// runs out of work when it is done.
     boost::asio::awaitable<void> stop();
 
 private:
--- a/src/dandelionmount/process/operator_service.cpp
+++ b/src/dandelionmount/process/operator_service.cpp
@@ -64,7 +64,9 @@
     return read_configuration(base, overlay);
 }
 
-Json::Value to_value(std::uint64_t number) { return Json::Value(static_cast<Json::UInt64>(number)); }
+Json::Value to_value(std::uint64_t number) {
+    return Json::Value(static_cast<Json::UInt64>(number));
+}
 
 } // namespace
 
@@ -78,8 +80,8 @@
                                JSON_STRING, "overlay", JSON_STRING, "overlay_name", JSON_STRING, NULL),
                      &self::check);
     bindAndAddMethod(Procedure("apply", PARAMS_BY_NAME, JSON_OBJECT, "base", JSON_STRING, "base_name",
-                               JSON_STRING, "overlay", JSON_STRING, "overlay_name", JSON_STRING,
-                               "change_id", JSON_STRING, "from_version", JSON_INTEGER, NULL),
+                               JSON_STRING, "overlay", JSON_STRING, "overlay_name", JSON_STRING, "change_id",
+                               JSON_STRING, "from_version", JSON_INTEGER, NULL),
                      &self::apply);
     bindAndAddMethod(Procedure("change", PARAMS_BY_NAME, JSON_OBJECT, "change_id", JSON_STRING, NULL),
                      &self::change);
@@ -154,7 +156,9 @@
     return value;
 }
 
-void operator_service::status(const Json::Value&, Json::Value& response) { response = status_value(); }
+void operator_service::status(const Json::Value&, Json::Value& response) {
+    response = status_value();
+}
 
 void operator_service::show(const Json::Value&, Json::Value& response) {
     response["document_version"] = to_value(context_.configuration.state().document_version);
--- a/src/dandelionmount/process/rate_service.cpp
+++ b/src/dandelionmount/process/rate_service.cpp
@@ -50,13 +50,15 @@
     if (!demand.fetching && context_.time.now() < demand.empty_until) {
         co_return false;
     }
-    // A fetch that was under way may have been made for fewer requests than wait by now: the second one counts all.
+    // A fetch that was under way may have been made for fewer requests than wait by now: the second one
+    // counts all.
     constexpr int most_fetches = 2;
     bool admitted = false;
     demand.waiting += 1;
     for (int round = 0; round < most_fetches && !admitted; ++round) {
         start_fetch(account, demand);
-        const bool fetched = co_await demand.fetched.wait_until(context_.time.now() + most_passes * ask_limit);
+        const bool fetched =
+            co_await demand.fetched.wait_until(context_.time.now() + most_passes * ask_limit);
         admitted = fetched && spend(account, demand);
     }
     demand.waiting -= 1;
@@ -103,15 +105,16 @@
     asio::co_spawn(context_.executor, fetch(account), asio::detached);
 }
 
-// Asks the keepers of the own zone for what is expected to be needed, then those of the other zones and at last
-// all of them for what requests wait for.
+// Asks the keepers of the own zone for what is expected to be needed, then those of the other zones and at
+// last all of them for what requests wait for.
 asio::awaitable<void> rate_service::fetch(std::string account) {
     account_demand& demand = demand_of(account);
     const std::string own_zone = context_.members.self.zone();
     std::vector<std::string> near = keeper_hosts(account, own_zone);
     std::vector<std::string> far;
     for (const auto& zone : context_.configuration.zones()) {
-        const auto hosts = zone.name == own_zone ? std::vector<std::string>{} : keeper_hosts(account, zone.name);
+        const auto hosts =
+            zone.name == own_zone ? std::vector<std::string>{} : keeper_hosts(account, zone.name);
         far.insert(far.end(), hosts.begin(), hosts.end());
     }
     const auto now = [this] { return context_.time.now(); };
@@ -206,7 +209,8 @@
     kept_share* share = own_share(ask.account());
     if (share != nullptr) {
         const std::string receiver = from.host + "@" + std::to_string(from.incarnation);
-        const token_ask order{receiver, ask.grant_id(), ask.wanted(), ask.spent_total(), ask.returned_total()};
+        const token_ask order{receiver, ask.grant_id(), ask.wanted(), ask.spent_total(),
+                              ask.returned_total()};
         const double granted = grant_tokens(*share, order, context_.time.now());
         reply->set_granted(granted);
         context_.counters.count(event::tokens_granted, static_cast<std::uint64_t>(granted));
--- a/src/dandelionmount/process/rate_service.h
+++ b/src/dandelionmount/process/rate_service.h
@@ -33,14 +33,14 @@
 
 /// Admits requests within each client account's rate and burst over all hosts together.
 ///
-/// Tokens are kept as shares by a few host slots of each zone. A host spends tokens that it has been granted; it
-/// asks the keepers of its own zone first and those of other zones for the rest.
+/// Tokens are kept as shares by a few host slots of each zone. A host spends tokens that it has been granted;
+/// it asks the keepers of its own zone first and those of other zones for the rest.
 class rate_service {
 public:
     explicit rate_service(rate_service_context context);
 
-    /// Spends one token of the account, asking for it when there is none here; false when the account is over its
-    /// rate.
+    /// Spends one token of the account, asking for it when there is none here; false when the account is over
+    /// its rate.
     boost::asio::awaitable<bool> admit(std::string account);
     /// Answers another host that asks for tokens of a share kept here.
     void answer(const wire::token_request& ask, const peer_name& from, std::shared_ptr<frame_stream> stream);
--- a/src/dandelionmount/process/reason.cpp
+++ b/src/dandelionmount/process/reason.cpp
@@ -48,7 +48,9 @@
 
 } // namespace
 
-std::string_view reason_token(reason value) { return tokens.at(static_cast<std::size_t>(value)); }
+std::string_view reason_token(reason value) {
+    return tokens.at(static_cast<std::size_t>(value));
+}
 
 reason reason_from_token(std::string_view token) {
     for (std::size_t index = 0; index < tokens.size(); ++index) {
--- a/src/dandelionmount/process/rendezvous.h
+++ b/src/dandelionmount/process/rendezvous.h
@@ -14,9 +14,8 @@
 
 /// The `count` candidates of highest weight for the key, best first.
 /// Source: Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998.
-[[nodiscard]] std::vector<std::string> rendezvous_choose(std::string_view key,
-                                                         std::vector<std::string> candidates,
-                                                         std::size_t count);
+[[nodiscard]] std::vector<std::string>
+rendezvous_choose(std::string_view key, std::vector<std::string> candidates, std::size_t count);
 
 } // namespace dandelionmount
 
--- a/src/dandelionmount/process/settings.cpp
+++ b/src/dandelionmount/process/settings.cpp
@@ -39,8 +39,7 @@
             return empty;
         }
         if (!node->is_table()) {
-            errors_.push_back(
-                {std::string(file_), node->source().begin.line, std::string(name), "a table"});
+            errors_.push_back({std::string(file_), node->source().begin.line, std::string(name), "a table"});
             return empty;
         }
         return *node->as_table();
@@ -111,8 +110,7 @@
             table_reader reader(*element.as_table(), file_, "zone", errors_);
             zone_settings zone;
             need_text(reader, "name", zone.name);
-            zone.hosts =
-                static_cast<std::uint32_t>(reader.whole("hosts", 1, most_hosts_of_zone).value_or(1));
+            zone.hosts = static_cast<std::uint32_t>(reader.whole("hosts", 1, most_hosts_of_zone).value_or(1));
             reader.finish();
             value.zones.push_back(zone);
         }
@@ -175,6 +173,8 @@
     return outcome;
 }
 
-bool is_address(std::string_view text) { return parse_address(text).has_value(); }
+bool is_address(std::string_view text) {
+    return parse_address(text).has_value();
+}
 
 } // namespace dandelionmount
--- a/src/dandelionmount/process/slot_lease.cpp
+++ b/src/dandelionmount/process/slot_lease.cpp
@@ -14,20 +14,17 @@
         const auto found = lease.answered.find(witness);
         return found != lease.answered.end() && now - found->second < witness_term;
     };
-    return static_cast<std::size_t>(
-        std::count_if(lease.witnesses.begin(), lease.witnesses.end(), fresh));
+    return static_cast<std::size_t>(std::count_if(lease.witnesses.begin(), lease.witnesses.end(), fresh));
 }
 
 std::size_t all_witnesses(const slot_lease& lease) {
     const auto heard = [&](const std::string& witness) { return lease.answered.contains(witness); };
-    return static_cast<std::size_t>(
-        std::count_if(lease.witnesses.begin(), lease.witnesses.end(), heard));
+    return static_cast<std::size_t>(std::count_if(lease.witnesses.begin(), lease.witnesses.end(), heard));
 }
 
 // More than half of the witnesses know this process, and the log names it.
 void look_for_proof(slot_lease& lease, steady_time now) {
-    const bool majority =
-        lease.witnesses.empty() || 2 * all_witnesses(lease) > lease.witnesses.size();
+    const bool majority = lease.witnesses.empty() || 2 * all_witnesses(lease) > lease.witnesses.size();
     if (!lease.proved && lease.log_read && majority) {
         lease.proved = now;
     }
--- a/src/dandelionmount/process/slot_lease.h
+++ b/src/dandelionmount/process/slot_lease.h
@@ -18,17 +18,21 @@
 constexpr duration witness_term = std::chrono::milliseconds(1500);
 /// How long tokens that were granted may be spent.
 constexpr duration grant_term = std::chrono::milliseconds(1500);
+/// Allowance for clocks that run at different speeds; both sides of a term are this far apart.
+constexpr duration drift_margin = std::chrono::milliseconds(50);
+/// How long a receiver spends tokens, counted from when it asked for them.
+constexpr duration spend_term = grant_term - drift_margin;
 /// Wait of a new process after the proof that its predecessor in the slot has stopped using it.
-constexpr duration takeover_wait = witness_term + grant_term;
+constexpr duration takeover_wait = witness_term + grant_term + 2 * drift_margin;
 /// Host slots of the same zone that vouch for one slot.
 constexpr std::size_t most_witnesses = 4;
 
 /// The right of one process to use what belongs to its host slot: shares of rates.
 ///
-/// A process that holds the slot uses it while at least half of the witnesses answered within the term, or the
-/// log was read within the term and names no other process. A process that takes the slot over needs more than
-/// half of the witnesses, which from then on vouch for no older process, and its own record in the log; then it
-/// waits. So the two cannot both use the slot, whatever pauses or cuts there are.
+/// A process that holds the slot uses it while at least half of the witnesses answered within the term, or
+/// the log was read within the term and names no other process. A process that takes the slot over needs more
+/// than half of the witnesses, which from then on vouch for no older process, and its own record in the log;
+/// then it waits. So the two cannot both use the slot, whatever pauses or cuts there are.
 struct slot_lease {
     std::uint64_t incarnation{0};
     /// Names of the witness slots.
--- a/src/dandelionmount/process/target_guard.cpp
+++ b/src/dandelionmount/process/target_guard.cpp
@@ -26,8 +26,8 @@
 }
 
 duration expected_wait(const target_guard& guard, std::size_t ahead) {
-    return std::chrono::duration_cast<duration>(guard.service_time * (static_cast<double>(ahead) /
-                                                                      std::max(guard.limit, least_limit)));
+    return std::chrono::duration_cast<duration>(
+        guard.service_time * (static_cast<double>(ahead) / std::max(guard.limit, least_limit)));
 }
 
 arrival_decision refuse(target_guard& guard, reason why) {
@@ -35,7 +35,9 @@
     return {arrival_decision::action::refuse, why, std::nullopt};
 }
 
-bool has_free_place(const target_guard& guard) { return guard.in_flight < static_cast<std::uint32_t>(guard.limit); }
+bool has_free_place(const target_guard& guard) {
+    return guard.in_flight < static_cast<std::uint32_t>(guard.limit);
+}
 
 } // namespace
 
@@ -91,11 +93,12 @@
         return;
     }
     const double weight = guard.measured ? newest_weight : 1;
-    guard.service_time = std::chrono::duration_cast<duration>(guard.service_time * (1 - weight) + took * weight);
-    guard.usual_time =
-        guard.measured ? std::min(guard.service_time,
-                                  std::chrono::duration_cast<duration>(guard.usual_time * usual_drift))
-                       : took;
+    guard.service_time =
+        std::chrono::duration_cast<duration>(guard.service_time * (1 - weight) + took * weight);
+    guard.usual_time = guard.measured
+                           ? std::min(guard.service_time,
+                                      std::chrono::duration_cast<duration>(guard.usual_time * usual_drift))
+                           : took;
     guard.measured = true;
     const bool slow = guard.service_time > guard.usual_time * slow_factor;
     if (slow && guard.limit > guard.ceiling / 2) {
--- a/src/dandelionmount/process/token_share.cpp
+++ b/src/dandelionmount/process/token_share.cpp
@@ -121,7 +121,7 @@
 
 void add_lot(token_wallet& wallet, std::string_view keeper, double amount, steady_time asked) {
     if (amount > 0) {
-        wallet.lots.push_back({std::string(keeper), amount, asked, asked + grant_term});
+        wallet.lots.push_back({std::string(keeper), amount, asked, asked + spend_term});
     }
 }
 
--- a/src/dandelionmount/process/token_share.h
+++ b/src/dandelionmount/process/token_share.h
@@ -36,8 +36,9 @@
 
 /// The share of one client account's rate and burst that a host slot keeps.
 ///
-/// Tokens here and tokens granted that may still be spent never exceed the share of the burst together, so all
-/// shares together admit at most rate x window + burst over any window, whatever messages are lost or repeated.
+/// Tokens here and tokens granted that may still be spent never exceed the share of the burst together, so
+/// all shares together admit at most rate x window + burst over any window, whatever messages are lost or
+/// repeated.
 struct kept_share {
     double rate{0};
     double burst{0};
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -45,8 +45,8 @@
 public:
     explicit dispatcher(dispatcher_context context);
 
-    /// The final answer: an attempt is repeated only when the one before is proved not to have run, or when the
-    /// request is idempotent, and only within the request's allowance and the service's budget.
+    /// The final answer: an attempt is repeated only when the one before is proved not to have run, or when
+    /// the request is idempotent, and only within the request's allowance and the service's budget.
     boost::asio::awaitable<wire::forward_reply> dispatch(dispatch_order order);
 
 private:
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -26,8 +26,8 @@
 
 bool has_idempotency_key(const wire::forward_request& request) {
     return std::any_of(request.headers().begin(), request.headers().end(), [](const auto& header) {
-        return boost::beast::iequals(header.name(), boost::beast::string_view(idempotency_header.data(),
-                                                                              idempotency_header.size()));
+        return boost::beast::iequals(
+            header.name(), boost::beast::string_view(idempotency_header.data(), idempotency_header.size()));
     });
 }
 
@@ -292,8 +292,8 @@
 void executor::forget_old() {
     const auto now = context_.time.now();
     std::erase_if(executions_, [this, now](const auto& entry) {
-        const bool old = entry.second->now == execution::phase::finished &&
-                         now - entry.second->finished > reply_life;
+        const bool old =
+            entry.second->now == execution::phase::finished && now - entry.second->finished > reply_life;
         if (old) {
             bar(entry.first, entry.second->deadline, true);
         }
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -21,7 +21,8 @@
 
 /// One attempt of a request at this host's target.
 struct execution {
-    execution(const boost::asio::any_io_executor& executor, wire::forward_request forwarded, steady_time until)
+    execution(const boost::asio::any_io_executor& executor, wire::forward_request forwarded,
+              steady_time until)
         : request(std::move(forwarded)), deadline(until), allowance(request.allowance()),
           cancel(std::make_shared<cancel_token>()), changed(executor) {}
 
--- a/src/dandelionmount/request/retry_allowance.cpp
+++ b/src/dandelionmount/request/retry_allowance.cpp
@@ -18,7 +18,9 @@
     return slice;
 }
 
-void retry_budget::note_first_attempt(double share) { saved_ = std::min(most_saved, saved_ + share); }
+void retry_budget::note_first_attempt(double share) {
+    saved_ = std::min(most_saved, saved_ + share);
+}
 
 bool retry_budget::use_one() {
     if (saved_ < 1) {
--- a/src/dandelionmount/request/retry_allowance.h
+++ b/src/dandelionmount/request/retry_allowance.h
@@ -7,8 +7,8 @@
 
 /// Retries that one request may still use over its whole tree of calls.
 ///
-/// A call below takes a slice and hands back what is left of it; a slice that does not come back is spent. So the
-/// attempts of a tree are at most its calls and the first allowance together.
+/// A call below takes a slice and hands back what is left of it; a slice that does not come back is spent. So
+/// the attempts of a tree are at most its calls and the first allowance together.
 class retry_allowance {
 public:
     explicit retry_allowance(std::uint32_t retries) : left_(retries) {}
--- a/src/dandelionmount/request/worker_choice.cpp
+++ b/src/dandelionmount/request/worker_choice.cpp
@@ -104,7 +104,8 @@
 }
 
 void prefer_own_zone(std::vector<candidate>& candidates, std::string_view zone) {
-    filter(candidates, [&](const candidate& one) { return one.member->zone() == zone && one.score < zone_short; });
+    filter(candidates,
+           [&](const candidate& one) { return one.member->zone() == zone && one.score < zone_short; });
 }
 
 const candidate& draw_better_of_two(const std::vector<candidate>& candidates, std::mt19937_64& random) {
--- a/src/dandelionmount/version/configuration.cpp
+++ b/src/dandelionmount/version/configuration.cpp
@@ -322,8 +322,8 @@
         const auto& route = config.routes[index];
         const auto& entry = part.routes[index];
         if (!route.service.empty() && find_service(config, route.service) == nullptr) {
-            errors.push_back({entry.file, entry.line, "route.service",
-                              "the name of a [[service]], not " + route.service});
+            errors.push_back(
+                {entry.file, entry.line, "route.service", "the name of a [[service]], not " + route.service});
         }
         for (const auto& account : route.accounts) {
             if (find_account(config, account) == nullptr) {
@@ -423,11 +423,11 @@
 
 std::string render_configuration(const configuration& config) {
     toml::table root;
-    root.insert("fleet",
-                toml::table{{"isolated_serving_s", std::int64_t{config.fleet.isolated_serving.count()}},
-                            {"strict_isolated_serving_s",
-                             std::int64_t{config.fleet.strict_isolated_serving.count()}},
-                            {"idempotency_window_s", std::int64_t{config.fleet.idempotency_window.count()}}});
+    root.insert(
+        "fleet",
+        toml::table{{"isolated_serving_s", std::int64_t{config.fleet.isolated_serving.count()}},
+                    {"strict_isolated_serving_s", std::int64_t{config.fleet.strict_isolated_serving.count()}},
+                    {"idempotency_window_s", std::int64_t{config.fleet.idempotency_window.count()}}});
     render_list(root, "zone", config.zones, [](const zone_settings& zone) {
         return toml::table{{"name", zone.name}, {"hosts", static_cast<std::int64_t>(zone.hosts)}};
     });
@@ -477,6 +477,8 @@
     return best;
 }
 
-std::string key_id_of(std::string_view key_hash) { return std::string(key_hash.substr(0, key_id_digits)); }
+std::string key_id_of(std::string_view key_hash) {
+    return std::string(key_hash.substr(0, key_id_digits));
+}
 
 } // namespace dandelionmount
--- a/src/dandelionmount/version/configuration_state.cpp
+++ b/src/dandelionmount/version/configuration_state.cpp
@@ -42,10 +42,16 @@
 }
 
 change_outcome apply_document(configuration_state& state, const json& record) {
-    if (number_of(record, "from_version") != state.document_version) {
+    const auto from_version = record.find("from_version");
+    const auto document = record.find("document");
+    if (from_version == record.end() || !from_version->is_number_unsigned() || document == record.end() ||
+        !document->is_string()) {
+        return change_outcome::invalid;
+    }
+    if (from_version->get<std::uint64_t>() != state.document_version) {
         return change_outcome::conflict;
     }
-    std::string text = text_of(record, "document");
+    std::string text = document->get<std::string>();
     auto read = read_configuration({"log", text}, std::nullopt);
     if (!read.value) {
         return change_outcome::invalid;
@@ -104,9 +110,8 @@
 json holders_json(const configuration_state& state) {
     json holders = json::object();
     for (const auto& [slot, holder] : state.holders) {
-        holders[slot] = {{"host", holder.host},
-                         {"incarnation", holder.incarnation},
-                         {"address", holder.address}};
+        holders[slot] = {
+            {"host", holder.host}, {"incarnation", holder.incarnation}, {"address", holder.address}};
     }
     return holders;
 }
--- a/src/dandelionmount/version/table_reader.cpp
+++ b/src/dandelionmount/version/table_reader.cpp
@@ -58,8 +58,7 @@
     return value;
 }
 
-std::optional<std::int64_t> table_reader::whole(std::string_view key, std::int64_t least,
-                                                std::int64_t most) {
+std::optional<std::int64_t> table_reader::whole(std::string_view key, std::int64_t least, std::int64_t most) {
     const toml::node* node = find(key);
     if (node == nullptr) {
         return std::nullopt;
@@ -134,7 +133,9 @@
     errors_.push_back({std::string(file_), at, join_key(section_, key), std::string(allowed)});
 }
 
-std::uint32_t table_reader::line() const { return table_.source().begin.line; }
+std::uint32_t table_reader::line() const {
+    return table_.source().begin.line;
+}
 
 std::optional<toml::table> parse_toml(std::string_view text, std::string_view file,
                                       std::vector<file_error>& errors) {
--- a/standins/standin_caller.cpp
+++ b/standins/standin_caller.cpp
@@ -1,7 +1,7 @@
 // Stand-in for callers: sends requests at a rate over kept connections and prints what came back as JSON.
 //
-// Each line of --plan is one caller: "ADDRESS KEY PATH RATE RETRIES". RETRIES is how often a refused request is
-// sent again at once. Requests arrive at random (seeded), whether or not earlier ones have been answered.
+// Each line of --plan is one caller: "ADDRESS KEY PATH RATE RETRIES". RETRIES is how often a refused request
+// is sent again at once. Requests arrive at random (seeded), whether or not earlier ones have been answered.
 
 #include "dandelionmount/connection/address.h"
 #include "dandelionmount/connection/async_event.h"
@@ -80,11 +80,13 @@
         std::vector<double> sorted = result_.milliseconds;
         std::sort(sorted.begin(), sorted.end());
         const auto quantile = [&](double share) {
-            return sorted.empty() ? 0.0
-                                  : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+            return sorted.empty()
+                       ? 0.0
+                       : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
         };
-        return {{"address", plan_.address},     {"path", plan_.path},          {"sent", result_.sent},
-                {"attempts", result_.attempts}, {"outcomes", result_.outcomes}, {"p50_ms", quantile(0.5)},
+        return {{"address", plan_.address},     {"path", plan_.path},
+                {"sent", result_.sent},         {"attempts", result_.attempts},
+                {"outcomes", result_.outcomes}, {"p50_ms", quantile(0.5)},
                 {"p99_ms", quantile(0.99)},     {"good_by_second", good_by_second()}};
     }
 
@@ -133,8 +135,8 @@
         auto conn = std::make_shared<connection>(io_);
         const auto address = dandelionmount::parse_address(plan_.address);
         conn->stream.expires_after(answer_margin);
-        auto [error] =
-            co_await conn->stream.async_connect(asio::ip::tcp::endpoint(address->ip, address->port), as_result);
+        auto [error] = co_await conn->stream.async_connect(
+            asio::ip::tcp::endpoint(address->ip, address->port), as_result);
         if (error) {
             co_return nullptr;
         }
--- a/standins/standin_log.cpp
+++ b/standins/standin_log.cpp
@@ -1,7 +1,7 @@
 // Stand-in for the platform's append-only log: POST /append, GET /read, and POST /fault to make it fail.
 //
-// Faults: "down" refuses everything, "slow" waits `ms` before each answer, "lose" writes and then cuts the answer
-// off, "none" ends them; "retention" keeps only `records`.
+// Faults: "down" refuses everything, "slow" waits `ms` before each answer, "lose" writes and then cuts the
+// answer off, "none" ends them; "retention" keeps only `records`.
 
 #include "dandelionmount/connection/async_event.h"
 #include "dandelionmount/connection/http_server.h"
@@ -41,7 +41,8 @@
 // The service: records, the fault that is set, and those who wait for records.
 class log_service {
 public:
-    explicit log_service(asio::any_io_executor executor) : executor_(std::move(executor)), store_(FLAGS_retention) {}
+    explicit log_service(asio::any_io_executor executor)
+        : executor_(std::move(executor)), store_(FLAGS_retention) {}
 
     asio::awaitable<dandelionmount::http_response> answer(dandelionmount::http_request request) {
         const std::string path(request.target());
--- a/standins/standin_target.cpp
+++ b/standins/standin_target.cpp
@@ -1,5 +1,5 @@
-// Stand-in target: announces itself to its node and answers requests. POST /control changes how it behaves, GET
-// /runs tells what it ran. SIGTERM drains it: it announces so, finishes what runs, leaves and exits 0.
+// Stand-in target: announces itself to its node and answers requests. POST /control changes how it behaves,
+// GET /runs tells what it ran. SIGTERM drains it: it announces so, finishes what runs, leaves and exits 0.
 
 #include "dandelionmount/connection/async_event.h"
 #include "dandelionmount/connection/http_client.h"
--- a/standins/target_behaviour.cpp
+++ b/standins/target_behaviour.cpp
@@ -27,8 +27,8 @@
 target_behaviour::target_behaviour(asio::any_io_executor executor, target_options options)
     : executor_(std::move(executor)), options_(std::move(options)) {}
 
-asio::awaitable<http_response> target_behaviour::answer(http_request request,
-                                                        std::shared_ptr<dandelionmount::cancel_token> cancel) {
+asio::awaitable<http_response>
+target_behaviour::answer(http_request request, std::shared_ptr<dandelionmount::cancel_token> cancel) {
     const std::string path(request.target());
     if (path == "/control") {
         co_return control(request.body());
@@ -65,7 +65,8 @@
                     {"account", std::string(request[std::string(dandelionmount::account_header)])},
                     {"body_bytes", request.body().size()},
                     {"calls", nested}};
-    auto response = dandelionmount::make_text_answer(whole ? ok : bad_gateway, "application/json", body.dump() + "\n");
+    auto response =
+        dandelionmount::make_text_answer(whole ? ok : bad_gateway, "application/json", body.dump() + "\n");
     if (draw(options_.cut_share)) {
         // Promises more than it sends: the server then closes the connection in the middle.
         response.content_length(response.body().size() + 100);
@@ -161,7 +162,7 @@
         most = std::max(most, id.empty() ? 0 : count);
         total += static_cast<std::uint64_t>(count);
     }
-    const json body{{"total", total},         {"most_for_one_request", most}, {"finished", finished_},
+    const json body{{"total", total},          {"most_for_one_request", most},      {"finished", finished_},
                     {"cancelled", cancelled_}, {"forbidden_seen", forbidden_seen_}, {"runs", runs_},
                     {"paths", paths_}};
     return dandelionmount::make_text_answer(ok, "application/json", body.dump());
@@ -179,7 +180,8 @@
                             {"state", options_.state}};
             http_request request{http::verb::put, "/announce", 11};
             request.body() = body.dump();
-            co_await dandelionmount::http_exchange(options_.node_address, request, announce_interval, most_answer);
+            co_await dandelionmount::http_exchange(options_.node_address, request, announce_interval,
+                                                   most_answer);
         }
         co_await dandelionmount::sleep_for(executor_, announce_interval);
     }
--- /dev/null
+++ b/tests/connection/http_headers_test.cpp
@@ -0,0 +1,109 @@
+#include "dandelionmount/connection/http_headers.h"
+
+#include <doctest/doctest.h>
+
+namespace dm = dandelionmount;
+namespace http = boost::beast::http;
+
+namespace {
+
+dm::http_request make_request() {
+    dm::http_request request{http::verb::post, "/store/item?x=1", 11};
+    request.set(http::field::authorization, "Bearer top-secret-key");
+    request.set("Dandelion-Account", "somebody else");
+    request.set("Dandelion-Timeout", "250");
+    request.set("X-Own", "kept");
+    request.set(http::field::connection, "keep-alive, X-Hop");
+    request.set("X-Hop", "dropped");
+    request.set("Idempotency-Key", "note-1");
+    return request;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("connection");
+
+TEST_CASE("A target sees neither the key nor headers of the hop nor Dandelion headers of the caller") {
+    dm::wire::forward_request forwarded;
+    dm::copy_request_headers(make_request(), forwarded);
+    std::vector<std::string> names;
+    for (const auto& header : forwarded.headers()) {
+        names.push_back(header.name());
+        CHECK(header.value().find("top-secret-key") == std::string::npos);
+    }
+    CHECK(names == std::vector<std::string>{"X-Own", "Idempotency-Key"});
+}
+
+TEST_CASE("A key is found wherever a caller repeats it") {
+    const std::string key = "top-secret-key";
+    CHECK_FALSE(dm::exposes_key(make_request(), key));
+    auto in_query = make_request();
+    in_query.target("/store?key=top-secret-key");
+    CHECK(dm::exposes_key(in_query, key));
+    auto encoded = make_request();
+    encoded.target("/store?key=top%2Dsecret%2dkey");
+    CHECK(dm::exposes_key(encoded, key));
+    auto in_header = make_request();
+    in_header.set("X-Api-Key", key);
+    CHECK(dm::exposes_key(in_header, key));
+    auto in_body = make_request();
+    in_body.body() = "{\"key\":\"top-secret-key\"}";
+    CHECK(dm::exposes_key(in_body, key));
+    auto second = make_request();
+    second.insert(http::field::authorization, "Bearer top-secret-key");
+    CHECK_FALSE(dm::exposes_key(second, key));
+}
+
+TEST_CASE("A timeout is a positive number of milliseconds") {
+    bool valid = false;
+    auto request = make_request();
+    CHECK(dm::timeout_of(request, valid) == 250);
+    CHECK(valid);
+    for (const char* text : {"0", "-1", "", "1s", "99999999999"}) {
+        request.set("Dandelion-Timeout", text);
+        (void)dm::timeout_of(request, valid);
+        CHECK_FALSE(valid);
+    }
+    request.erase("Dandelion-Timeout");
+    CHECK_FALSE(dm::timeout_of(request, valid));
+    CHECK(valid);
+}
+
+TEST_CASE("Each refusal says that nothing ran and why, and those of load when to come back") {
+    for (std::size_t index = 1; index < dm::reason_count; ++index) {
+        const auto why = static_cast<dm::reason>(index);
+        CHECK(dm::reason_from_token(dm::reason_token(why)) == why);
+        const auto response = dm::make_refusal(why, std::chrono::seconds(2));
+        CHECK(response["Dandelion-Outcome"] == "not-run");
+        CHECK(response["Dandelion-Reason"] == std::string(dm::reason_token(why)));
+        const bool load = response.result_int() == 429 || response.result_int() == 503;
+        CHECK((response.count(http::field::retry_after) > 0) == load);
+    }
+}
+
+TEST_CASE("An outcome that is not known is told as such") {
+    dm::wire::forward_reply reply;
+    reply.set_id("id");
+    reply.set_outcome(dm::wire::unknown);
+    reply.set_reason("target_lost");
+    const auto lost = dm::make_answer(reply);
+    CHECK(lost.result_int() == 502);
+    CHECK(lost["Dandelion-Outcome"] == "unknown");
+    reply.set_reason("deadline");
+    CHECK(dm::make_answer(reply).result_int() == 504);
+    reply.set_outcome(dm::wire::not_run);
+    CHECK(dm::make_answer(reply)["Dandelion-Outcome"] == "not-run");
+}
+
+TEST_CASE("A bearer key is read whatever the case of the scheme") {
+    auto request = make_request();
+    CHECK(dm::bearer_key(request) == "top-secret-key");
+    request.set(http::field::authorization, "bearer k");
+    CHECK(dm::bearer_key(request) == "k");
+    request.set(http::field::authorization, "Basic k");
+    CHECK_FALSE(dm::bearer_key(request));
+    request.set(http::field::authorization, "Bearer ");
+    CHECK_FALSE(dm::bearer_key(request));
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/connection/http_server_test.cpp
@@ -0,0 +1,179 @@
+#include "dandelionmount/connection/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+
+namespace dm = dandelionmount;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string address = "127.0.0.1:18473";
+constexpr std::uint16_t port = 18473;
+
+dm::caller_limits small_limits() {
+    dm::caller_limits limits;
+    limits.header_bytes = 512;
+    limits.body_bytes = 1000;
+    limits.connections = 2;
+    limits.receive = milliseconds(150);
+    limits.idle = milliseconds(400);
+    return limits;
+}
+
+// A server that answers with the path after a short while, and a raw client.
+struct server_fixture {
+    server_fixture() {
+        const auto opened = server.listen(address);
+        REQUIRE(opened);
+    }
+
+    tcp::socket connect() {
+        tcp::socket socket(io);
+        socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+        return socket;
+    }
+
+    // Sends the text, optionally closes the sending side, and returns all that comes back.
+    std::string exchange(tcp::socket& socket, const std::string& text, bool close_sending) {
+        asio::write(socket, asio::buffer(text));
+        if (close_sending) {
+            socket.shutdown(tcp::socket::shutdown_send);
+        }
+        return receive(socket);
+    }
+
+    std::string receive(tcp::socket& socket) {
+        std::string received;
+        bool ended = false;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                std::array<char, 4096> bytes{};
+                while (!ended) {
+                    auto [error, count] = co_await socket.async_read_some(asio::buffer(bytes), dm::as_result);
+                    received.append(bytes.data(), count);
+                    ended = static_cast<bool>(error);
+                }
+            },
+            asio::detached);
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!ended && std::chrono::steady_clock::now() < until) {
+            io.run_for(milliseconds(5));
+        }
+        return received;
+    }
+
+    asio::io_context io{1};
+    dm::metrics counters;
+    int cancelled{0};
+    dm::http_server server{
+        io.get_executor(), small_limits(), counters,
+        [this](dm::http_request request,
+               std::shared_ptr<dm::cancel_token> cancel) -> asio::awaitable<dm::http_response> {
+            cancel->on_request([this] { ++cancelled; });
+            co_await dm::sleep_for(io.get_executor(), milliseconds(60));
+            co_return dm::make_text_answer(200, "text/plain", "[" + std::string(request.target()) + "]");
+        }};
+};
+
+std::size_t count_of(const std::string& text, const std::string& part) {
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("connection");
+
+TEST_CASE("Pipelined requests are answered whole and in order") {
+    server_fixture fixture;
+    auto socket = fixture.connect();
+    const std::string text = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n"
+                             "GET /3 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    const std::string answer = fixture.exchange(socket, text, false);
+    CHECK(count_of(answer, "200 OK") == 3);
+    CHECK(answer.find("[/1]") < answer.find("[/2]"));
+    CHECK(answer.find("[/2]") < answer.find("[/3]"));
+}
+
+TEST_CASE("A caller that has closed its sending side gets its whole answer") {
+    server_fixture fixture;
+    auto socket = fixture.connect();
+    const std::string answer = fixture.exchange(socket, "GET /half HTTP/1.1\r\nHost: x\r\n\r\n", true);
+    CHECK(answer.find("[/half]") != std::string::npos);
+    CHECK(fixture.cancelled == 0);
+}
+
+TEST_CASE("The request of a caller that is gone is cancelled") {
+    server_fixture fixture;
+    {
+        auto socket = fixture.connect();
+        asio::write(socket, asio::buffer(std::string("GET /gone HTTP/1.1\r\nHost: x\r\n\r\n")));
+    }
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    while (fixture.cancelled == 0 && std::chrono::steady_clock::now() < until) {
+        fixture.io.run_for(milliseconds(5));
+    }
+    CHECK(fixture.cancelled == 1);
+}
+
+TEST_CASE("Large headers, large bodies, bad requests and slow callers are refused and counted") {
+    const auto refuse = [](const std::string& text, const std::string& status, dm::reason why) {
+        server_fixture fixture;
+        auto socket = fixture.connect();
+        const std::string answer = fixture.exchange(socket, text, false);
+        CHECK(answer.find(status) != std::string::npos);
+        CHECK(answer.find("Dandelion-Outcome: not-run") != std::string::npos);
+        CHECK(fixture.counters.refusals(why) == 1);
+    };
+    refuse("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", "413",
+           dm::reason::headers_too_large);
+    refuse("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "413", dm::reason::body_too_large);
+    refuse("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" + std::string(4096, 'x') +
+               "\r\n0\r\n\r\n",
+           "413", dm::reason::body_too_large);
+    refuse("nonsense\r\n\r\n", "400", dm::reason::bad_request);
+    refuse("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", "408", dm::reason::slow_caller);
+}
+
+TEST_CASE("Connections above the limit are told so") {
+    server_fixture fixture;
+    auto first = fixture.connect();
+    auto second = fixture.connect();
+    auto third = fixture.connect();
+    const std::string answer = fixture.receive(third);
+    CHECK(answer.find("503") != std::string::npos);
+    CHECK(answer.find("connection_limit") != std::string::npos);
+    CHECK(answer.find("Retry-After") != std::string::npos);
+}
+
+TEST_CASE("A connection that stays idle is closed") {
+    server_fixture fixture;
+    auto socket = fixture.connect();
+    CHECK(fixture.receive(socket).empty());
+    CHECK(fixture.server.connections() == 0);
+}
+
+TEST_CASE("Draining answers what runs and then closes") {
+    server_fixture fixture;
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(std::string("GET /last HTTP/1.1\r\nHost: x\r\n\r\n")));
+    fixture.io.run_for(milliseconds(20));
+    fixture.server.drain();
+    const std::string answer = fixture.receive(socket);
+    CHECK(answer.find("[/last]") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/connection/peer_link_test.cpp
@@ -0,0 +1,258 @@
+#include "dandelionmount/connection/peer_link.h"
+
+#include "dandelionmount/connection/http_server.h"
+#include "dandelionmount/connection/peer_server.h"
+#include "dandelionmount/request/executor.h"
+#include "tests/support/relay.h"
+#include "tests/support/seed.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <iostream>
+#include <map>
+#include <random>
+
+namespace dm = dandelionmount;
+namespace asio = boost::asio;
+namespace wire = dandelionmount::wire;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string host_address = "127.0.0.1:18475";
+const std::string target_address = "127.0.0.1:18476";
+constexpr std::uint16_t target_port = 18476;
+
+// What one process of the receiving host consists of. After a kill the next one takes its place.
+struct host_process {
+    host_process(asio::io_context& io, const dm::time_source& time, dm::configuration_store& configuration,
+                 std::uint64_t incarnation)
+        : identity{"receiver", incarnation, "secret"}, target(time),
+          connections(io.get_executor(), time, 100000),
+          executor({io.get_executor(), time, counters, configuration, target, connections,
+                    asio::ip::make_address("127.0.0.1")}),
+          server(io.get_executor(), identity, counters,
+                 [this](const wire::peer_frame& frame, const dm::peer_name&,
+                        std::shared_ptr<dm::frame_stream> stream) { take(frame, std::move(stream)); }) {
+        target.announce({"store", target_port, 3, 10, wire::target_ready});
+        REQUIRE(server.listen(host_address));
+    }
+
+    void take(const wire::peer_frame& frame, std::shared_ptr<dm::frame_stream> stream) {
+        if (frame.has_forward_request()) {
+            executor.accept(frame.forward_request(), std::move(stream));
+        } else if (frame.has_cancel_request()) {
+            executor.cancel(frame.cancel_request());
+        } else if (frame.has_settle_request()) {
+            executor.settle(frame.settle_request(), std::move(stream));
+        } else if (frame.has_reply_ack()) {
+            executor.acknowledge(frame.reply_ack());
+        } else {
+            stream->send(frame);
+        }
+    }
+
+    void kill() {
+        server.stop();
+        executor.drain();
+    }
+
+    dm::metrics counters;
+    dm::peer_identity identity;
+    dm::local_target target;
+    dm::target_connections connections;
+    dm::executor executor;
+    dm::peer_server server;
+};
+
+// A sender, a relay that breaks connections, and a receiving host with a target that counts runs.
+struct link_fixture {
+    link_fixture(std::uint64_t seed, bool settles) : random(seed) {
+        REQUIRE(target_server.listen(target_address));
+        start_process();
+        middle = std::make_unique<tests::relay>(io.get_executor(), host_address);
+        const dm::peer_link_context context{io.get_executor(), sender, time, counters, settles};
+        link = std::make_shared<dm::peer_link>(context, "receiver", middle->listen());
+    }
+
+    ~link_fixture() {
+        link->stop();
+        middle->stop();
+        for (auto& process : processes) {
+            process->kill();
+        }
+        target_server.drain();
+        io.run_for(milliseconds(100));
+    }
+
+    void start_process() {
+        if (!processes.empty()) {
+            processes.back()->kill();
+        }
+        processes.push_back(std::make_unique<host_process>(io, time, configuration,
+                                                           static_cast<std::uint64_t>(processes.size() + 1)));
+    }
+
+    asio::awaitable<dm::http_response> run_at_target(dm::http_request request) {
+        ++runs[std::string(request["Dandelion-Request"])];
+        co_await dm::sleep_for(io.get_executor(), milliseconds(random() % 20));
+        co_return dm::make_text_answer(200, "text/plain", std::string(request["Dandelion-Request"]));
+    }
+
+    asio::awaitable<void> send(std::string id, dm::duration limit) {
+        ++open;
+        wire::forward_request request;
+        request.set_id(id);
+        request.set_attempt(1);
+        request.set_open(true);
+        request.set_service("store");
+        request.set_method("POST");
+        request.set_path("/x");
+        request.set_priority(4);
+        request.set_remaining_ms(dm::to_milliseconds(limit));
+        auto cancel = std::make_shared<dm::cancel_token>();
+        if (random() % 12 == 0) {
+            auto timer = std::make_shared<asio::steady_timer>(io, milliseconds(random() % 30));
+            timer->async_wait([timer, cancel](const boost::system::error_code&) { cancel->request(); });
+        }
+        const auto reply = co_await link->forward(request, time.now() + limit, cancel);
+        told[id] = reply.outcome();
+        lost += reply.outcome() == wire::unknown && reply.reason() == "peer_lost" ? 1 : 0;
+        if (reply.outcome() == wire::ran && reply.body() != id) {
+            ++crossed;
+        }
+        --open;
+    }
+
+    bool run_until_quiet(dm::duration limit) {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        while (open > 0 && std::chrono::steady_clock::now() < until) {
+            io.run_for(milliseconds(5));
+        }
+        return open == 0;
+    }
+
+    void check_all() const {
+        CHECK(crossed == 0);
+        for (const auto& [id, outcome] : told) {
+            CAPTURE(id);
+            const auto found = runs.find(id);
+            const int count = found == runs.end() ? 0 : found->second;
+            CHECK(count <= 1);
+            if (outcome == wire::not_run) {
+                CHECK(count == 0);
+            }
+            if (outcome == wire::ran) {
+                CHECK(count == 1);
+            }
+        }
+    }
+
+    asio::io_context io{1};
+    std::mt19937_64 random;
+    dm::system_time_source time;
+    dm::metrics counters;
+    dm::configuration_store configuration{{}, time};
+    dm::peer_identity sender{"sender", 1, "secret"};
+    dm::http_server target_server{
+        io.get_executor(), {}, counters, [this](dm::http_request request, std::shared_ptr<dm::cancel_token>) {
+            return run_at_target(std::move(request));
+        }};
+    std::vector<std::unique_ptr<host_process>> processes;
+    std::unique_ptr<tests::relay> middle;
+    std::shared_ptr<dm::peer_link> link;
+    std::map<std::string, int> runs;
+    std::map<std::string, wire::forward_outcome> told;
+    /// Requests whose outcome stayed unknown because a connection was lost.
+    int lost{0};
+    int crossed{0};
+    int open{0};
+};
+
+enum class link_fault { cut, silence, restart };
+
+// Sends requests for a while with faults in between, and waits for all outcomes.
+void run_with_faults(link_fixture& fixture, int requests, const std::vector<link_fault>& faults) {
+    for (int number = 0; number < requests; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        const auto limit = milliseconds(fixture.random() % 10 == 0 ? 10 : 4000);
+        asio::co_spawn(fixture.io, fixture.send(id, limit), asio::detached);
+        fixture.io.run_for(milliseconds(fixture.random() % 8));
+        for (auto& process : fixture.processes) {
+            // The target goes on announcing itself.
+            process->target.announce({"store", target_port, 3, 10, wire::target_ready});
+        }
+        if (fixture.random() % 25 == 0) {
+            switch (faults[fixture.random() % faults.size()]) {
+            case link_fault::cut:
+                fixture.middle->cut();
+                break;
+            case link_fault::silence:
+                fixture.middle->silence();
+                break;
+            case link_fault::restart:
+                fixture.start_process();
+                break;
+            }
+        }
+    }
+    CHECK(fixture.run_until_quiet(std::chrono::seconds(20)));
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("connection");
+
+TEST_CASE(
+    "A request runs at most once and is told truly, while connections break, fall silent and hosts restart") {
+    const auto range = tests::seeds(4);
+    for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed) {
+        CAPTURE(seed);
+        std::cout << "peer link run, seed " << seed << "\n";
+        link_fixture fixture(seed, true);
+        run_with_faults(fixture, 300, {link_fault::cut, link_fault::silence, link_fault::restart});
+        fixture.check_all();
+    }
+}
+
+TEST_CASE("Lost connections alone leave no outcome unknown, thanks to the question what became of it") {
+    link_fixture with(7, true);
+    run_with_faults(with, 250, {link_fault::cut});
+    with.check_all();
+    CHECK(with.counters.counted(dm::event::settle_questions) > 0);
+    MESSAGE("unknown with the question: " << with.lost << " of " << with.told.size());
+    CHECK(with.lost == 0);
+}
+
+TEST_CASE("Without the question lost connections leave outcomes unknown") {
+    link_fixture without(7, false);
+    run_with_faults(without, 250, {link_fault::cut});
+    without.check_all();
+    MESSAGE("unknown without the question: " << without.lost << " of " << without.told.size());
+    CHECK(without.lost > 0);
+}
+
+TEST_CASE("A host that has not seen a request refuses it from the question on") {
+    link_fixture fixture(1, true);
+    auto& executor = fixture.processes.back()->executor;
+    auto stream = std::make_shared<dm::frame_stream>(asio::ip::tcp::socket(fixture.io));
+    wire::settle_request question;
+    question.set_id("late");
+    question.set_attempt(1);
+    executor.settle(question, stream);
+    wire::forward_request request;
+    request.set_id("late");
+    request.set_attempt(1);
+    request.set_open(true);
+    request.set_service("store");
+    request.set_method("POST");
+    request.set_path("/x");
+    request.set_remaining_ms(1000);
+    executor.accept(request, stream);
+    fixture.io.run_for(milliseconds(100));
+    CHECK(fixture.runs.empty());
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/connection/peer_server_test.cpp
@@ -0,0 +1,147 @@
+#include "dandelionmount/connection/peer_server.h"
+
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/peer_handshake.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <optional>
+
+namespace dm = dandelionmount;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string address = "127.0.0.1:18474";
+constexpr std::uint16_t port = 18474;
+
+struct peer_fixture {
+    peer_fixture() { REQUIRE(server.listen(address)); }
+
+    tcp::socket connect() {
+        tcp::socket socket(io);
+        socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+        return socket;
+    }
+
+    // Connects as a host and sends one frame after the handshake.
+    bool connect_as(const dm::peer_identity& identity) {
+        std::optional<bool> good;
+        auto stream = std::make_shared<dm::frame_stream>(connect());
+        asio::co_spawn(
+            io,
+            [&, stream]() -> asio::awaitable<void> {
+                const auto peer = co_await dm::connect_handshake(*stream, identity);
+                dm::wire::peer_frame frame;
+                frame.mutable_heartbeat()->set_sequence(1);
+                stream->send(frame);
+                good = peer.has_value();
+            },
+            asio::detached);
+        io.run_for(milliseconds(100));
+        return good.value_or(false);
+    }
+
+    asio::io_context io{1};
+    dm::metrics counters;
+    dm::peer_identity identity{"server", 1, "the secret of the fleet"};
+    int frames{0};
+    dm::peer_server server{io.get_executor(), identity, counters,
+                           [this](const dm::wire::peer_frame&, const dm::peer_name&,
+                                  std::shared_ptr<dm::frame_stream>) { ++frames; }};
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("connection");
+
+TEST_CASE("A host that knows the secret is let in, and any other is not") {
+    peer_fixture fixture;
+    CHECK(fixture.connect_as({"friend", 1, "the secret of the fleet"}));
+    CHECK(fixture.frames == 1);
+    CHECK_FALSE(fixture.connect_as({"stranger", 1, "another secret"}));
+    CHECK(fixture.frames == 1);
+    CHECK(fixture.counters.counted(dm::event::peer_strangers) >= 1);
+}
+
+TEST_CASE("What was recorded of one handshake does not open another") {
+    peer_fixture fixture;
+    // Records all that a friend sends, by standing in the middle.
+    tcp::acceptor middle(fixture.io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    std::string recorded;
+    asio::co_spawn(
+        fixture.io,
+        [&]() -> asio::awaitable<void> {
+            auto [error, near] = co_await middle.async_accept(dm::as_result);
+            auto far = std::make_shared<tcp::socket>(fixture.connect());
+            auto back = std::make_shared<tcp::socket>(std::move(near));
+            asio::co_spawn(
+                fixture.io,
+                [back, far]() -> asio::awaitable<void> {
+                    std::array<char, 4096> bytes{};
+                    while (true) {
+                        auto [failed, count] =
+                            co_await far->async_read_some(asio::buffer(bytes), dm::as_result);
+                        if (failed) {
+                            co_return;
+                        }
+                        co_await asio::async_write(*back, asio::buffer(bytes.data(), count), dm::as_result);
+                    }
+                },
+                asio::detached);
+            std::array<char, 4096> bytes{};
+            while (true) {
+                auto [failed, count] = co_await back->async_read_some(asio::buffer(bytes), dm::as_result);
+                if (failed) {
+                    co_return;
+                }
+                recorded.append(bytes.data(), count);
+                co_await asio::async_write(*far, asio::buffer(bytes.data(), count), dm::as_result);
+            }
+        },
+        asio::detached);
+    const dm::peer_identity identity{"friend", 1, "the secret of the fleet"};
+    tcp::socket socket(fixture.io);
+    socket.connect(middle.local_endpoint());
+    auto stream = std::make_shared<dm::frame_stream>(std::move(socket));
+    bool good = false;
+    asio::co_spawn(
+        fixture.io,
+        [&, stream]() -> asio::awaitable<void> {
+            const auto peer = co_await dm::connect_handshake(*stream, identity);
+            good = peer.has_value();
+            dm::wire::peer_frame frame;
+            frame.mutable_heartbeat()->set_sequence(1);
+            stream->send(frame);
+        },
+        asio::detached);
+    fixture.io.run_for(milliseconds(100));
+    REQUIRE(good);
+    REQUIRE(fixture.frames == 1);
+    CHECK(recorded.find("the secret of the fleet") == std::string::npos);
+    auto replay = fixture.connect();
+    asio::write(replay, asio::buffer(recorded));
+    fixture.io.run_for(milliseconds(100));
+    CHECK(fixture.frames == 1);
+    CHECK(fixture.counters.counted(dm::event::peer_strangers) == 1);
+}
+
+TEST_CASE("Garbage, endless lengths and silence before the handshake end the connection") {
+    for (const std::string text :
+         {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(4, '\xFF'), std::string()}) {
+        peer_fixture fixture;
+        auto socket = fixture.connect();
+        asio::write(socket, asio::buffer(text));
+        fixture.io.run_for(dm::handshake_limit + milliseconds(200));
+        CHECK(fixture.counters.counted(dm::event::peer_strangers) == 1);
+        CHECK(fixture.frames == 0);
+    }
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/process/admission_queue_test.cpp
@@ -0,0 +1,97 @@
+#include "dandelionmount/process/admission_queue.h"
+
+#include "tests/support/seed.h"
+
+#include <doctest/doctest.h>
+#include <random>
+#include <set>
+
+namespace dm = dandelionmount;
+
+namespace {
+
+constexpr dm::steady_time start{std::chrono::hours(1)};
+
+dm::queued_request make_request(std::uint64_t ticket, std::uint32_t priority, const std::string& account) {
+    return {ticket, priority, account, start, start + std::chrono::seconds(1)};
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("process");
+
+TEST_CASE("Important requests start first") {
+    dm::admission_queue queue;
+    dm::push_request(queue, make_request(1, 2, "a"));
+    dm::push_request(queue, make_request(2, 9, "a"));
+    CHECK(dm::pop_request(queue)->ticket == 2);
+    CHECK(dm::pop_request(queue)->ticket == 1);
+    CHECK_FALSE(dm::pop_request(queue));
+}
+
+TEST_CASE("An account that waits with many requests does not hold up the others") {
+    dm::admission_queue queue;
+    for (std::uint64_t ticket = 0; ticket < 100; ++ticket) {
+        dm::push_request(queue, make_request(ticket, 4, "large"));
+    }
+    dm::push_request(queue, make_request(1000, 4, "small"));
+    std::set<std::uint64_t> first_two{dm::pop_request(queue)->ticket, dm::pop_request(queue)->ticket};
+    CHECK(first_two.contains(1000));
+}
+
+TEST_CASE("A full queue gives way from the bottom, then from the largest account") {
+    dm::admission_queue queue;
+    for (std::uint64_t ticket = 0; ticket < 4; ++ticket) {
+        dm::push_request(queue, make_request(ticket, 4, "large"));
+    }
+    CHECK_FALSE(dm::evict_for(queue, 3, "small"));
+    CHECK(dm::evict_for(queue, 4, "small")->ticket == 3);
+    CHECK(dm::evict_for(queue, 9, "large")->ticket == 2);
+    CHECK_FALSE(dm::evict_for(queue, 4, "large"));
+}
+
+TEST_CASE("Requests that can't start in time are taken out") {
+    dm::admission_queue queue;
+    dm::push_request(queue, make_request(1, 4, "a"));
+    CHECK(dm::remove_expired(queue, start).empty());
+    CHECK(dm::remove_expired(queue, start + std::chrono::seconds(1)).size() == 1);
+    CHECK(queue.size == 0);
+}
+
+TEST_CASE("No request is lost or doubled, whatever the order of calls") {
+    const auto range = tests::seeds(50);
+    for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        dm::admission_queue queue;
+        std::set<std::uint64_t> inside;
+        const auto take = [&](const std::optional<dm::queued_request>& request) {
+            if (request) {
+                CHECK(inside.erase(request->ticket) == 1);
+            }
+        };
+        for (std::uint64_t ticket = 1; ticket < 500; ++ticket) {
+            const std::string account(1, static_cast<char>('a' + random() % 4));
+            const auto priority = static_cast<std::uint32_t>(random() % 10);
+            switch (random() % 5) {
+            case 0:
+                take(dm::pop_request(queue));
+                break;
+            case 1:
+                take(dm::evict_for(queue, priority, account));
+                break;
+            case 2: {
+                const std::uint64_t other = random() % ticket;
+                CHECK(dm::remove_request(queue, other) == (inside.erase(other) == 1));
+                break;
+            }
+            default:
+                dm::push_request(queue, make_request(ticket, priority, account));
+                inside.insert(ticket);
+            }
+            CHECK(queue.size == inside.size());
+        }
+    }
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/process/configuration_store_test.cpp
@@ -0,0 +1,81 @@
+#include "dandelionmount/process/configuration_store.h"
+
+#include <doctest/doctest.h>
+
+namespace dm = dandelionmount;
+
+namespace {
+
+const std::string key_hash(64, 'd');
+
+std::string document(const std::string& more) {
+    return "[[account]]\nname = \"kiosk\"\nrate = 1\nburst = 1\nkeys = [\"" + key_hash + "\"]\n" + more;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("process");
+
+TEST_CASE("A process's version only rises") {
+    const dm::manual_time_source time;
+    dm::configuration_store store({}, time);
+    dm::configuration_state early;
+    dm::apply_record(early, dm::make_document_record("one", 0, document("")));
+    dm::configuration_state late = early;
+    dm::apply_record(late, dm::make_withdraw_record("w", "x"));
+    store.adopt(late);
+    store.adopt(early);
+    CHECK(store.state().version == late.version);
+    CHECK(store.is_withdrawn("x"));
+}
+
+TEST_CASE("Records that overlap with what is known are applied once, and a gap is not jumped") {
+    const dm::manual_time_source time;
+    dm::configuration_store store({}, time);
+    const std::vector<std::string> records = {dm::make_document_record("one", 0, document("")),
+                                              dm::make_withdraw_record("w", "x")};
+    CHECK(store.apply_records(0, records));
+    CHECK(store.apply_records(0, records));
+    CHECK(store.state().next_offset == 2);
+    CHECK_FALSE(store.apply_records(3, records));
+    CHECK(store.records_from(1)->size() == 1);
+    CHECK_FALSE(store.records_from(7));
+}
+
+TEST_CASE("A withdrawal counts at once, and stays when the log names it") {
+    const dm::manual_time_source time;
+    dm::configuration_store store({}, time);
+    const std::vector<std::string> records = {dm::make_document_record("one", 0, document(""))};
+    store.apply_records(0, records);
+    const auto owner = store.find_key(key_hash);
+    REQUIRE(owner);
+    CHECK(store.withdraw(owner->key_id));
+    CHECK_FALSE(store.withdraw(owner->key_id));
+    CHECK(store.is_withdrawn(owner->key_id));
+    const std::vector<std::string> withdrawal = {dm::make_withdraw_record("w", owner->key_id)};
+    store.apply_records(1, withdrawal);
+    CHECK(store.pending_withdrawals().empty());
+    CHECK(store.is_withdrawn(owner->key_id));
+}
+
+TEST_CASE("A zone that is cut off serves on for its time, and a strict account for less") {
+    dm::manual_time_source time;
+    dm::configuration_store store({}, time);
+    const std::string zones = "[[zone]]\nname = \"a\"\nhosts = 1\n[[zone]]\nname = \"b\"\nhosts = 1\n"
+                              "[fleet]\nisolated_serving_s = 100\nstrict_isolated_serving_s = 3\n";
+    const std::vector<std::string> records = {dm::make_document_record("one", 0, document(zones))};
+    store.apply_records(0, records);
+    store.note_contact();
+    dm::account_settings usual;
+    dm::account_settings strict;
+    strict.strict = true;
+    time.advance(std::chrono::seconds(4));
+    CHECK_FALSE(store.is_isolated(&usual));
+    CHECK(store.is_isolated(&strict));
+    time.advance(std::chrono::seconds(100));
+    CHECK(store.is_isolated(&usual));
+    store.note_contact();
+    CHECK_FALSE(store.is_isolated(&strict));
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/process/gossip_service_test.cpp
@@ -0,0 +1,35 @@
+#include "dandelionmount/process/gossip_service.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+namespace dm = dandelionmount;
+
+TEST_SUITE_BEGIN("process");
+
+TEST_CASE("A datagram is opened only with the secret that sealed it") {
+    dm::wire::gossip_datagram datagram;
+    datagram.set_from("a");
+    const std::string sealed = dm::seal_datagram(datagram, "secret");
+    CHECK(dm::open_datagram(sealed, "secret").value().from() == "a");
+    CHECK_FALSE(dm::open_datagram(sealed, "another"));
+    CHECK(sealed.find("secret") == std::string::npos);
+}
+
+TEST_CASE("No damaged datagram is taken") {
+    dm::wire::gossip_datagram datagram;
+    datagram.set_from("a");
+    datagram.add_members()->set_host("b");
+    const std::string sealed = dm::seal_datagram(datagram, "secret");
+    std::mt19937_64 random(1);
+    for (int run = 0; run < 5000; ++run) {
+        std::string damaged = sealed;
+        const std::size_t at = random() % damaged.size();
+        damaged[at] = static_cast<char>(damaged[at] ^ static_cast<char>(1 + random() % 255));
+        CHECK_FALSE(dm::open_datagram(damaged, "secret"));
+        damaged.resize(random() % damaged.size());
+        CHECK_FALSE(dm::open_datagram(damaged, "secret"));
+    }
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/request/worker_choice_test.cpp
@@ -0,0 +1,122 @@
+#include "dandelionmount/request/worker_choice.h"
+
+#include <doctest/doctest.h>
+
+namespace dm = dandelionmount;
+namespace wire = dandelionmount::wire;
+
+namespace {
+
+constexpr dm::steady_time start{std::chrono::hours(1)};
+
+void add_worker(dm::member_table& table, const std::string& host, const std::string& zone,
+                wire::target_state state = wire::target_ready) {
+    auto& record = table.others[host];
+    record.set_host(host);
+    record.set_incarnation(1);
+    record.set_zone(zone);
+    record.set_service("store");
+    record.set_target(state);
+    record.set_target_slots(10);
+}
+
+struct choice_fixture {
+    dm::member_table members;
+    std::map<std::string, dm::worker_record, std::less<>> records;
+    std::mt19937_64 random{1};
+    std::vector<std::string> excluded;
+
+    choice_fixture() { members.self.set_zone("a"); }
+    dm::worker_choice choose(std::uint32_t priority = 4) {
+        return dm::choose_worker({"store", "a", priority, excluded, start}, members, records, random);
+    }
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("request");
+
+TEST_CASE("A worker that drains, starts or is gone gets nothing") {
+    choice_fixture fixture;
+    add_worker(fixture.members, "w1", "a", wire::target_draining);
+    add_worker(fixture.members, "w2", "a", wire::target_starting);
+    add_worker(fixture.members, "w3", "a");
+    fixture.members.others["w3"].set_state(wire::member_dead);
+    CHECK(fixture.choose().why == dm::reason::no_target);
+}
+
+TEST_CASE("The own zone comes first until it is short") {
+    choice_fixture fixture;
+    add_worker(fixture.members, "near", "a");
+    add_worker(fixture.members, "far", "b");
+    for (int run = 0; run < 50; ++run) {
+        CHECK(fixture.choose().host == "near");
+    }
+    fixture.records["near"].in_flight = 10;
+    bool far = false;
+    for (int run = 0; run < 50; ++run) {
+        far = far || fixture.choose().host == "far";
+    }
+    CHECK(far);
+}
+
+TEST_CASE("Requests below the level of every worker are refused here, important ones go on") {
+    choice_fixture fixture;
+    add_worker(fixture.members, "w", "a");
+    (void)fixture.choose();
+    wire::load_report load;
+    load.set_limit(10);
+    load.set_admission_level(6);
+    dm::note_load(fixture.records["w"], load, start);
+    int refused = 0;
+    for (int run = 0; run < 200; ++run) {
+        refused += fixture.choose(5).why == dm::reason::overload ? 1 : 0;
+        CHECK(fixture.choose(6).host == "w");
+    }
+    CHECK(refused > 180);
+    CHECK(refused < 200);
+}
+
+TEST_CASE("A worker that fails again and again is left out, but not most of them") {
+    choice_fixture fixture;
+    for (const char* host : {"w1", "w2", "w3"}) {
+        add_worker(fixture.members, host, "a");
+    }
+    (void)fixture.choose();
+    const auto fail = [&](const std::string& host) {
+        for (int attempt = 0; attempt < 5; ++attempt) {
+            dm::note_attempt_end(fixture.records[host], false, start);
+        }
+    };
+    fail("w1");
+    for (int run = 0; run < 50; ++run) {
+        CHECK(fixture.choose().host != "w1");
+    }
+    fail("w2");
+    fail("w3");
+    CHECK_FALSE(fixture.choose().host.empty());
+}
+
+TEST_CASE("A worker that has just become ready gets little at first") {
+    choice_fixture fixture;
+    add_worker(fixture.members, "old1", "a");
+    add_worker(fixture.members, "old2", "a");
+    add_worker(fixture.members, "new", "a");
+    (void)fixture.choose();
+    fixture.members.others["new"].set_incarnation(2);
+    int chosen = 0;
+    for (int run = 0; run < 900; ++run) {
+        chosen += fixture.choose().host == "new" ? 1 : 0;
+    }
+    // Two draws that both hit the new one: one in nine.
+    CHECK(chosen < 200);
+}
+
+TEST_CASE("Workers that were tried are not chosen again") {
+    choice_fixture fixture;
+    add_worker(fixture.members, "w", "a");
+    fixture.excluded = {"w"};
+    CHECK(fixture.choose().why == dm::reason::no_target);
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/support/memory_log.h
@@ -0,0 +1,26 @@
+#ifndef DANDELIONMOUNT_TESTS_SUPPORT_MEMORY_LOG_H
+#define DANDELIONMOUNT_TESTS_SUPPORT_MEMORY_LOG_H
+
+#include "dandelionmount/process/log_client.h"
+#include "standins/log_store.h"
+
+namespace tests {
+
+/// The platform's log in memory, with its faults.
+class memory_log : public dandelionmount::platform_log {
+public:
+    explicit memory_log(std::size_t retention) : store(retention) {}
+    boost::asio::awaitable<dandelionmount::result<std::uint64_t>> append(std::string record) override;
+    boost::asio::awaitable<dandelionmount::result<dandelionmount::log_records>>
+    read(std::uint64_t from, dandelionmount::duration wait) override;
+
+    standins::log_store store;
+    bool down{false};
+    /// Writes, but reports a failure.
+    bool loses_answers{false};
+    std::uint64_t appends{0};
+};
+
+} // namespace tests
+
+#endif
--- /dev/null
+++ b/tests/support/rate_check.h
@@ -0,0 +1,46 @@
+#ifndef DANDELIONMOUNT_TESTS_SUPPORT_RATE_CHECK_H
+#define DANDELIONMOUNT_TESTS_SUPPORT_RATE_CHECK_H
+
+#include <algorithm>
+#include <vector>
+
+namespace tests {
+
+/// The most by which any window of the admissions exceeds rate x window + burst; at most 0 when none does.
+/// Times are in seconds, in order.
+inline double worst_excess(const std::vector<double>& admissions, double rate, double burst) {
+    double least = 1e300;
+    double worst = -burst;
+    for (std::size_t index = 0; index < admissions.size(); ++index) {
+        // Admissions i..j exceed by (j - i + 1) - rate * (t_j - t_i) - burst.
+        const double level = static_cast<double>(index) - rate * admissions[index];
+        least = std::min(least, level);
+        worst = std::max(worst, level - least + 1 - burst);
+    }
+    return worst;
+}
+
+/// A bucket that sees all requests at once: what an ideal limiter would admit.
+class ideal_bucket {
+public:
+    ideal_bucket(double rate, double burst) : rate_(rate), burst_(burst), tokens_(burst) {}
+    bool admit(double now) {
+        tokens_ = std::min(burst_, tokens_ + rate_ * (now - last_));
+        last_ = now;
+        if (tokens_ < 1) {
+            return false;
+        }
+        tokens_ -= 1;
+        return true;
+    }
+
+private:
+    double rate_;
+    double burst_;
+    double tokens_;
+    double last_{0};
+};
+
+} // namespace tests
+
+#endif
--- /dev/null
+++ b/tests/support/relay.cpp
@@ -0,0 +1,91 @@
+#include "tests/support/relay.h"
+
+#include "dandelionmount/connection/address.h"
+#include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/listen.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace tests {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using dandelionmount::as_result;
+
+relay::relay(asio::any_io_executor executor, std::string to)
+    : executor_(std::move(executor)), to_(std::move(to)), acceptor_(executor_) {}
+
+std::string relay::listen() {
+    const auto opened = dandelionmount::open_acceptor(acceptor_, "127.0.0.1:0");
+    DANDELIONMOUNT_INVARIANT(opened);
+    asio::co_spawn(executor_, accept_connections(), asio::detached);
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void relay::cut() {
+    boost::system::error_code ignored;
+    for (const auto& one : pairs_) {
+        one->near.close(ignored);
+        one->far.close(ignored);
+    }
+}
+
+void relay::silence() {
+    for (const auto& one : pairs_) {
+        one->silent = true;
+    }
+}
+
+void relay::stop() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    cut();
+}
+
+asio::awaitable<void> relay::accept_connections() {
+    while (acceptor_.is_open()) {
+        auto [error, socket] = co_await acceptor_.async_accept(as_result);
+        if (error) {
+            co_return;
+        }
+        auto one = std::make_shared<pair>(executor_);
+        one->near = std::move(socket);
+        const auto address = dandelionmount::parse_address(to_);
+        auto [failed] = co_await one->far.async_connect(tcp::endpoint(address->ip, address->port), as_result);
+        if (failed) {
+            continue;
+        }
+        pairs_.insert(one);
+        asio::co_spawn(executor_, copy(one, one->near, one->far), asio::detached);
+        asio::co_spawn(executor_, copy(one, one->far, one->near), asio::detached);
+    }
+}
+
+asio::awaitable<void> relay::copy(pair_pointer one, tcp::socket& from, tcp::socket& to) {
+    std::array<char, 65536> bytes{};
+    while (true) {
+        auto [error, count] = co_await from.async_read_some(asio::buffer(bytes), as_result);
+        if (error) {
+            break;
+        }
+        if (one->silent) {
+            continue;
+        }
+        auto [write_error, written] =
+            co_await asio::async_write(to, asio::buffer(bytes.data(), count), as_result);
+        if (write_error) {
+            break;
+        }
+    }
+    boost::system::error_code ignored;
+    if (!one->silent) {
+        one->near.close(ignored);
+        one->far.close(ignored);
+    }
+    pairs_.erase(one);
+}
+
+} // namespace tests
--- /dev/null
+++ b/tests/system/cli_test.py
@@ -0,0 +1,78 @@
+"""The command-line tool: exit codes, errors, and what it prints."""
+
+import json
+import os
+import subprocess
+import tempfile
+import unittest
+
+import fleet
+
+
+class CommandLineTest(fleet.FleetTest):
+    network = "127.31"
+    arguments = ("--hosts", "2", "--zones", "1")
+
+    def write(self, text):
+        handle, path = tempfile.mkstemp(suffix=".toml")
+        with os.fdopen(handle, "w", encoding="utf-8") as file:
+            file.write(text)
+        self.addCleanup(os.unlink, path)
+        return path
+
+    def test_a_bad_file_is_refused_with_its_line_and_nothing_is_applied(self):
+        before = json.loads(self.fleet.ctl("show").stdout)
+        bad = self.write('[[account]]\nname = "kiosk"\nrate = -5\nburst = 1\n')
+        refused = self.fleet.ctl("apply", bad)
+        self.assertEqual(refused.returncode, 1)
+        self.assertIn(bad + ":3: account.rate: a number from", refused.stderr)
+        self.assertEqual(json.loads(self.fleet.ctl("show").stdout), before)
+
+    def test_check_talks_to_nobody(self):
+        ctl = self.fleet.description["ctl"]
+        good = os.path.join(fleet.ROOT, "examples/demo/base.toml")
+        done = subprocess.run([ctl, "--node", "127.0.0.1:1", "check", good], check=False, capture_output=True)
+        self.assertEqual(done.returncode, 0)
+
+    def test_an_unreachable_node_has_an_exit_code_of_its_own(self):
+        ctl = self.fleet.description["ctl"]
+        failed = subprocess.run([ctl, "--node", "127.0.0.1:1", "status"], check=False, capture_output=True)
+        self.assertEqual(failed.returncode, 4)
+
+    def test_unknown_commands_print_the_usage(self):
+        failed = self.fleet.ctl("aply")
+        self.assertEqual(failed.returncode, 2)
+        self.assertIn("apply BASE", failed.stderr)
+
+    def test_diff_shows_what_apply_would_change(self):
+        with open(os.path.join(fleet.ROOT, "examples/demo/base.toml"), encoding="utf-8") as file:
+            changed = self.write(file.read().replace("rate = 400", "rate = 401", 1))
+        difference = json.loads(self.fleet.ctl("diff", changed).stdout)["difference"]
+        self.assertIn("-rate = 400.0", difference)
+        self.assertIn("+rate = 401.0", difference)
+
+    def test_of_two_changes_from_one_version_the_second_is_told_of_the_conflict(self):
+        good = os.path.join(fleet.ROOT, "examples/demo/base.toml")
+        version = json.loads(self.fleet.ctl("show").stdout)["document_version"]
+        first = self.fleet.ctl(f"--from_version={version}", "apply", good)
+        second = self.fleet.ctl(f"--from_version={version}", "apply", good)
+        self.assertEqual(first.returncode, 0)
+        self.assertEqual(second.returncode, 3)
+
+    def test_counters_and_accounts_can_be_read_by_scripts(self):
+        counters = json.loads(self.fleet.ctl("counters").stdout)
+        self.assertIn('dandelionmount_refusals_total{reason="over_rate"}', counters)
+        accounts = json.loads(self.fleet.ctl("account", "list").stdout)
+        self.assertEqual([one["name"] for one in accounts], ["kiosk", "publisher"])
+
+    def test_bad_settings_end_the_daemon_with_their_errors(self):
+        bad = self.write('[host]\nname = "x"\nslot = "one"\n')
+        ended = subprocess.run([os.path.join(fleet.BUILD, "dandelionmountd"), "--settings", bad], check=False,
+                               capture_output=True, text=True, timeout=10)
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn(":3: host.slot: a whole number from 0", ended.stderr)
+        self.assertIn("host.caller_address: needed here", ended.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/system/configuration_test.py
@@ -0,0 +1,104 @@
+"""Configuration: in force everywhere within seconds, racing operators, and platform outages."""
+
+import json
+import os
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+
+import fleet
+
+
+def base_text():
+    with open(os.path.join(fleet.ROOT, "examples/demo/base.toml"), encoding="utf-8") as file:
+        return file.read()
+
+
+class ConfigurationTest(fleet.FleetTest):
+    network = "127.37"
+    arguments = ("--hosts", "6", "--zones", "3")
+
+    def write(self, text):
+        handle, path = tempfile.mkstemp(suffix=".toml")
+        with os.fdopen(handle, "w", encoding="utf-8") as file:
+            file.write(text)
+        self.addCleanup(os.unlink, path)
+        return path
+
+    def rates(self, node):
+        shown = self.fleet.ctl("account", "list", node=node)
+        return [one["rate"] for one in json.loads(shown.stdout)]
+
+    def test_an_accepted_change_is_in_force_everywhere_within_two_seconds(self):
+        changed = self.write(base_text().replace("rate = 400", "rate = 432", 1))
+        began = time.monotonic()
+        self.assertEqual(self.fleet.ctl("apply", changed).returncode, 0)
+        for index in range(len(self.fleet.nodes())):
+            fleet.wait_until(lambda i=index: self.rates(i)[0] == 432, 2)
+        self.assertLess(time.monotonic() - began, 2)
+
+    def test_of_racing_operators_exactly_one_wins_each_version_and_all_nodes_agree(self):
+        for turn in range(3):
+            version = json.loads(self.fleet.ctl("show").stdout)["document_version"]
+            results = []
+
+            def apply(rate, node, version=version, results=results):
+                path = self.write(base_text().replace("rate = 400", f"rate = {rate}", 1))
+                results.append(self.fleet.ctl(f"--from_version={version}", "apply", path, node=node).returncode)
+
+            threads = [threading.Thread(target=apply, args=(500 + 10 * turn + node, node)) for node in range(4)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            self.assertEqual(sorted(results), [0, 3, 3, 3])
+            fleet.wait_until(lambda: len({json.dumps(self.rates(i)) for i in range(6)}) == 1, 2)
+
+    def test_nodes_serve_on_while_the_platform_is_down_and_a_fresh_one_learns_from_its_peers(self):
+        self.fleet.log_fault(mode="down")
+        node = self.fleet.nodes()[5]
+        try:
+            # The next document has to wait; the one in force goes on.
+            waiting = self.fleet.ctl("apply", self.write(base_text()), wait_ms=300)
+            self.assertEqual(waiting.returncode, 5)
+            self.assertEqual(self.fleet.ask(self.fleet.nodes()[0], "/front/x").status, 200)
+            self.fleet.signal(node, signal.SIGKILL)
+            fleet.wait_until(lambda: not fleet.is_running(node["pid"]), 5)
+            self.fleet.restart(node)
+            fleet.wait_until(lambda: (self.fleet.status(node) or {}).get("ready"), 10, "configuration from peers")
+            fleet.wait_until(lambda: self.fleet.ask(node, "/front/x").status == 200, 10, "an answer")
+        finally:
+            self.fleet.log_fault(mode="none")
+        fleet.wait_until(lambda: self.fleet.status(node)["holds_slot"], 20, "its slot again")
+
+    def test_a_lost_answer_of_the_log_does_no_harm(self):
+        self.fleet.log_fault(mode="lose")
+        try:
+            path = self.write(base_text().replace("rate = 400", "rate = 777", 1))
+            self.assertEqual(self.fleet.ctl("apply", path).returncode, 0)
+        finally:
+            self.fleet.log_fault(mode="none")
+        self.assertEqual(self.rates(0)[0], 777)
+
+    def test_a_process_without_any_configuration_refuses_everything(self):
+        settings = self.fleet.nodes()[0]["command"][2]
+        with open(settings, encoding="utf-8") as file:
+            text = file.read()
+        text = text.replace("127.37.1.1", "127.37.9.1").replace("127.37.0.1:9100", "127.37.0.9:9100")
+        text = "\n".join(line for line in text.splitlines() if not line.startswith("seeds"))
+        child = subprocess.Popen([os.path.join(fleet.BUILD, "dandelionmountd"), "--settings", self.write(text)],
+                                 stderr=subprocess.DEVNULL)
+        try:
+            refused = fleet.wait_until(lambda: fleet.exchange("127.37.9.1:8080", "GET", "/front/x", {
+                "Authorization": "Bearer " + fleet.KEY}), 5)
+            self.assertEqual((refused.status, refused.reason, refused.outcome), (503, "no_configuration", "not-run"))
+        finally:
+            child.kill()
+            child.wait()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/system/planned_stops_test.py
@@ -0,0 +1,77 @@
+"""Planned stops: of a node, of a target, and of all nodes one after another, under load."""
+
+import signal
+import time
+import unittest
+
+import fleet
+
+
+class PlannedStopsTest(fleet.FleetTest):
+    network = "127.36"
+    arguments = ("--hosts", "6", "--zones", "3", "--service-ms", "20")
+
+    def check_all_whole(self, answers):
+        bad = [(host, answer and (answer.status, answer.reason)) for _, host, answer in answers
+               if answer is None or answer.status != 200]
+        self.assertEqual(bad, [])
+        self.assertGreater(len(answers), 50)
+
+    def test_a_target_that_drains_is_cut_off_from_no_request(self):
+        load = fleet.Load(self.fleet, "/front/pay/drain", threads=4, method="POST")
+        time.sleep(1)
+        target = self.fleet.targets("front")[0]
+        self.fleet.signal(target, signal.SIGTERM)
+        self.assertTrue(self.fleet.wait_ended(target))
+        self.fleet.restart(target)
+        time.sleep(1)
+        self.check_all_whole(load.stop())
+
+    def test_a_target_that_falls_silent_gets_nothing_after_three_seconds(self):
+        target = self.fleet.targets("front")[0]
+        load = fleet.Load(self.fleet, "/front/silent", threads=4)
+        time.sleep(0.5)
+        self.fleet.control(target, announces=False)
+        time.sleep(3)
+        before = self.fleet.runs(target)["total"]
+        time.sleep(1.5)
+        after = self.fleet.runs(target)["total"]
+        self.fleet.control(target, announces=True)
+        load.stop()
+        self.assertEqual(before, after)
+
+    def test_a_target_whose_host_goes_gets_nothing_after_three_seconds(self):
+        target = self.fleet.targets("front")[0]
+        node = self.fleet.find("node", target["host"])[0]
+        load = fleet.Load(self.fleet, "/front/gone", threads=4)
+        time.sleep(0.5)
+        node["away"] = True
+        self.fleet.signal(node, signal.SIGKILL)
+        fleet.wait_until(lambda: not fleet.is_running(node["pid"]), 5)
+        time.sleep(3)
+        before = self.fleet.runs(target)["total"]
+        time.sleep(1)
+        after = self.fleet.runs(target)["total"]
+        self.fleet.restart(node)
+        fleet.wait_until(lambda: (self.fleet.status(node) or {}).get("holds_slot"), 15, "slot")
+        node["away"] = False
+        load.stop()
+        self.assertEqual(before, after)
+
+    def test_all_nodes_are_stopped_one_after_another_and_no_request_is_cut_off(self):
+        load = fleet.Load(self.fleet, "/front/pay/rolling", threads=4, method="POST")
+        time.sleep(1)
+        for node in self.fleet.nodes():
+            # Its callers are sent elsewhere, as by any client that finds the port closed.
+            node["away"] = True
+            self.fleet.signal(node, signal.SIGTERM)
+            self.assertTrue(self.fleet.wait_ended(node))
+            self.fleet.restart(node)
+            fleet.wait_until(lambda n=node: (self.fleet.status(n) or {}).get("holds_slot"), 15, "slot")
+            node["away"] = False
+        time.sleep(1)
+        self.check_all_whole(load.stop())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/system/requests_test.py
@@ -0,0 +1,168 @@
+"""One request under failure: at most once, whole answers, repeats of an idempotency key, bounded retries."""
+
+import hashlib
+import json
+import random
+import signal
+import threading
+import time
+import unittest
+
+import fleet
+
+
+class RequestsTest(fleet.FleetTest):
+    network = "127.33"
+    arguments = ("--hosts", "6", "--zones", "3")
+
+    def test_repeats_of_an_idempotency_key_run_once_at_whichever_node_they_arrive(self):
+        nodes = self.fleet.nodes()
+        before = sum(self.fleet.runs(target)["paths"].get("/front/pay/once", 0) for target in self.fleet.targets("front"))
+        answers = []
+        lock = threading.Lock()
+
+        def pay(node):
+            answer = self.fleet.ask(node, "/front/pay/once", method="POST", body="amount=1",
+                                    headers={"Idempotency-Key": "at-once"}, timeout=10)
+            with lock:
+                answers.append(answer)
+
+        threads = [threading.Thread(target=pay, args=(node,)) for node in nodes * 2]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        after = sum(self.fleet.runs(target)["paths"].get("/front/pay/once", 0) for target in self.fleet.targets("front"))
+        self.assertLessEqual(after - before, 1)
+        good = [answer for answer in answers if answer.status == 200]
+        for answer in good:
+            self.assertEqual(answer.headers["Dandelion-Request"], good[0].headers["Dandelion-Request"])
+        later = self.fleet.ask(nodes[0], "/front/pay/once", method="POST", body="amount=1",
+                               headers={"Idempotency-Key": "at-once"})
+        self.assertEqual(later.status, 200)
+        other = self.fleet.ask(nodes[0], "/front/pay/once", method="POST", body="amount=2",
+                               headers={"Idempotency-Key": "at-once"})
+        self.assertEqual((other.status, other.reason), (400, "key_mismatch"))
+
+    def test_requests_stay_whole_and_single_while_targets_cut_their_answers(self):
+        for target in self.fleet.targets("front"):
+            self.fleet.control(target, cut_share=0.3)
+        try:
+            outcomes = {}
+            for number in range(60):
+                node = self.fleet.nodes()[number % 6]
+                answer = self.fleet.ask(node, "/front/pay/cut", method="POST")
+                outcomes[answer.outcome] = outcomes.get(answer.outcome, 0) + 1
+                if answer.outcome == "ran":
+                    json.loads(answer.body)
+                else:
+                    self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+            self.assertGreater(outcomes.get("unknown", 0), 0)
+        finally:
+            for target in self.fleet.targets("front"):
+                self.fleet.control(target, cut_share=0)
+        for target in self.fleet.targets("front"):
+            self.assertLessEqual(self.fleet.runs(target)["most_for_one_request"], 1)
+
+    def test_a_deadline_ends_a_request_at_once_and_is_told_to_the_target(self):
+        for target in self.fleet.targets("front"):
+            self.fleet.control(target, service_ms=1500)
+        try:
+            began = time.monotonic()
+            answer = self.fleet.ask(self.fleet.nodes()[0], "/front/pay", method="POST",
+                                    headers={"Dandelion-Timeout": "200"})
+            took = time.monotonic() - began
+            self.assertEqual((answer.status, answer.outcome), (504, "unknown"))
+            self.assertIn("Retry-After", answer.headers)
+            self.assertLess(took, 0.5)
+        finally:
+            for target in self.fleet.targets("front"):
+                self.fleet.control(target, service_ms=2)
+
+
+class FaultsTest(fleet.FleetTest):
+    """Kills and freezes of nodes and targets, at random moments, under load."""
+
+    network = "127.34"
+    arguments = ("--hosts", "6", "--zones", "3")
+
+    def test_a_request_runs_at_most_once_and_not_run_is_true(self):
+        seed = 1
+        print("faults run, seed", seed)
+        choice = random.Random(seed)
+        load = fleet.Load(self.fleet, "/front/pay/faults", threads=6, method="POST", pause=0.02)
+        kinds = []
+        # Targets are not killed here: their counts are the evidence.
+        until = time.monotonic() + 20
+        while time.monotonic() < until:
+            kind = choice.choice(("kill node", "freeze node", "freeze target"))
+            processes = self.fleet.nodes() if "node" in kind else self.fleet.targets()
+            process = choice.choice(processes)
+            kinds.append(kind)
+            if kind == "kill node":
+                self.fleet.signal(process, signal.SIGKILL)
+                fleet.wait_until(lambda p=process: not fleet.is_running(p["pid"]), 5)
+                time.sleep(choice.uniform(0.1, 1.0))
+                self.fleet.restart(process)
+            else:
+                self.fleet.signal(process, signal.SIGSTOP)
+                time.sleep(choice.uniform(0.2, 3.0))
+                self.fleet.signal(process, signal.SIGCONT)
+            time.sleep(choice.uniform(0.1, 1.0))
+        answers = load.stop()
+        time.sleep(1)
+        runs = {}
+        for target in self.fleet.targets("front"):
+            for request, count in self.fleet.runs(target)["runs"].items():
+                runs[request] = runs.get(request, 0) + count
+        outcomes = {}
+        for _, _, answer in answers:
+            told = answer.outcome if answer else "connection lost"
+            outcomes[told] = outcomes.get(told, 0) + 1
+            request = answer.headers.get("Dandelion-Request") if answer else None
+            if request is None:
+                continue
+            self.assertLessEqual(runs.get(request, 0), 1)
+            if answer.outcome == "not-run":
+                self.assertEqual(runs.get(request, 0), 0)
+            if answer.outcome == "ran":
+                self.assertEqual(runs.get(request, 0), 1)
+        self.assertLessEqual(max(runs.values()), 1)
+        print("faults", kinds, "outcomes", outcomes)
+        self.assertGreater(outcomes.get("ran", 0), 100)
+
+
+class RetriesTest(fleet.FleetTest):
+    """A chain six deep in which the last service fails."""
+
+    network = "127.35"
+    arguments = ("--hosts", "6", "--zones", "1", "--services", "one,two,three,four,five,six", "--config", "none")
+
+    def test_attempts_over_the_whole_tree_stay_within_the_allowance(self):
+        path = self.fleet.dir + "/chain.toml"
+        names = ("one", "two", "three", "four", "five", "six")
+        with open(path, "w", encoding="utf-8") as file:
+            key_hash = hashlib.sha256(fleet.KEY.encode()).hexdigest()
+            file.write(f'[[account]]\nname = "kiosk"\nrate = 1000\nburst = 1000\nkeys = ["{key_hash}"]\n')
+            for name in names:
+                file.write(f'[[service]]\nname = "{name}"\nretries = 3\n')
+                file.write(f'[[route]]\nprefix = "/{name}"\nservice = "{name}"\nidempotent = true\n')
+        applied = self.fleet.ctl("apply", path)
+        self.assertEqual(applied.returncode, 0, applied.stderr + applied.stdout)
+        for node in self.fleet.nodes():
+            fleet.wait_until(lambda: self.fleet.status(node)["ready"], 5)
+        fleet.wait_until(lambda: self.fleet.ask(self.fleet.nodes()[0], "/one/x").status == 200, 10)
+        for target in self.fleet.targets("six"):
+            self.fleet.control(target, cut_share=1.0)
+        before = {target["host"]: self.fleet.runs(target)["total"] for target in self.fleet.targets()}
+        requests = 20
+        for _ in range(requests):
+            self.fleet.ask(self.fleet.nodes()[0], "/one/x")
+        runs = sum(self.fleet.runs(target)["total"] - before[target["host"]] for target in self.fleet.targets())
+        # Six calls for each request and at most three retries over the whole tree; with retries of three at each
+        # hop it would be 4 + 16 + ... + 4096.
+        self.assertLessEqual(runs, requests * (6 + 3))
+
+
+if __name__ == "__main__":
+    unittest.main()
