Measure overload on real processes, and let a slow target keep its places

The guard halved its limit because the target was slow, though giving it less made it no faster. Change: the limit falls only when the target sheds, fails or misses a deadline that was long enough; mechanisms can be left out of a node for comparison.

--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,153 @@
+#!/usr/bin/env python3
+"""Goodput, recovery and fairness while a deep service is slow, on real processes and stand-ins.
+
+Three services in a chain over three zones: front calls middle, middle calls deep. Callers of eight client accounts,
+two of them large, send more than the slow service can do and retry at once. For each variant of the nodes (all
+mechanisms, and each one left out) prints what was answered before, during and after the trigger.
+"""
+
+import argparse
+import hashlib
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../tests/system"))
+import fleet  # noqa: E402
+
+DEEP_SLOTS = 4
+DEEP_MS = 20
+SLOW_FACTOR = 10
+WORKERS = 3
+LARGE_RATE = 90
+SMALL_RATE = 8
+PAY_RATE = 3
+RETRIES = 3
+TRIGGER_FROM = 4
+TRIGGER_UNTIL = 12
+SECONDS = 20
+
+
+def write_configuration(path):
+    with open(path, "w", encoding="utf-8") as file:
+        for number in range(8):
+            key_hash = hashlib.sha256(f"key-{number}".encode()).hexdigest()
+            file.write(f'[[account]]\nname = "account-{number}"\nrate = 2000\nburst = 2000\nkeys = ["{key_hash}"]\n')
+        for name in ("front", "middle", "deep"):
+            file.write(f'[[service]]\nname = "{name}"\nretries = 2\n')
+            file.write(f'[[route]]\nprefix = "/{name}"\nservice = "{name}"\nidempotent = true\npriority = 4\n')
+        file.write('[[route]]\nprefix = "/front/pay"\nservice = "front"\nidempotent = true\npriority = 9\n')
+
+
+def write_plan(path, nodes, demand):
+    """Each account enters at several nodes; returns the accounts' lines."""
+    lines = []
+    for number in range(8):
+        rate = (LARGE_RATE if number < 2 else SMALL_RATE) * demand
+        for part in range(3):
+            node = nodes[(number + part) % len(nodes)]
+            lines.append((number, "list", f"{node['addresses']['callers']} key-{number} /front/list {rate / 3} {RETRIES}"))
+        if number >= 2:
+            node = nodes[number % len(nodes)]
+            lines.append((number, "pay", f"{node['addresses']['callers']} key-{number} /front/pay {PAY_RATE} {RETRIES}"))
+    with open(path, "w", encoding="ascii") as file:
+        file.write("\n".join(line for _, _, line in lines) + "\n")
+    return lines
+
+
+def deep_work(one):
+    return sum(one.runs(target)["finished"] for target in one.targets("deep"))
+
+
+def run_variant(without, network, demand, seed):
+    one = fleet.Fleet(network, "--hosts", "9", "--zones", "3", "--services", "front,middle,deep", "--config",
+                      "none", "--slots", "60", "--service-ms", "2", "--without", without, "--log-level", "error")
+    try:
+        configuration = os.path.join(one.dir, "overload.toml")
+        write_configuration(configuration)
+        assert one.ctl("apply", configuration).returncode == 0
+        for target in one.targets("deep"):
+            one.control(target, service_ms=DEEP_MS, slots=DEEP_SLOTS, announced_slots=DEEP_SLOTS)
+        for node in one.nodes():
+            fleet.wait_until(lambda n=node: one.status(n)["holds_slot"], 20)
+        time.sleep(2)
+        plan = os.path.join(one.dir, "plan")
+        lines = write_plan(plan, one.nodes(), demand)
+        caller = subprocess.Popen([os.path.join(fleet.BUILD, "standins/standin_caller"), "--plan", plan, "--seconds",
+                                   str(SECONDS), "--seed", str(seed)], stdout=subprocess.PIPE, text=True)
+        reports = []
+        reader = threading.Thread(target=lambda: reports.append(json.load(caller.stdout)))
+        reader.start()
+        time.sleep(TRIGGER_FROM)
+        work_before = deep_work(one)
+        for target in one.targets("deep"):
+            one.control(target, service_ms=DEEP_MS * SLOW_FACTOR)
+        time.sleep(TRIGGER_UNTIL - TRIGGER_FROM)
+        work_during = deep_work(one) - work_before
+        for target in one.targets("deep"):
+            one.control(target, service_ms=DEEP_MS)
+        reader.join()
+        caller.wait()
+        return summarize(lines, reports[0], work_during)
+    finally:
+        one.stop()
+
+
+def total(report, first, last, kind="good"):
+    return sum(report[kind + "_by_second"][first:last])
+
+
+def summarize(lines, reports, work_during):
+    """Shares of what could be had: before and after of the demand, during of the slow service's capacity."""
+    pairs = list(zip(lines, reports))
+    during = (TRIGGER_FROM + 1, TRIGGER_UNTIL)
+    seconds = during[1] - during[0]
+    capacity = WORKERS * DEEP_SLOTS * 1000 / (DEEP_MS * SLOW_FACTOR)
+    offered = sum(report["sent"] for report in reports) / SECONDS
+    good_during = sum(total(report, *during) for _, report in pairs) / seconds
+    pay = [report for (_, kind, _), report in pairs if kind == "pay"]
+    pay_sent = sum(total(report, *during, "sent") for report in pay)
+    pay_good = sum(total(report, *during) for report in pay)
+    good = {}
+    sent = {}
+    for (number, _, _), report in pairs:
+        good[number] = good.get(number, 0) + total(report, *during) / seconds
+        sent[number] = sent.get(number, 0) + total(report, *during, "sent") / seconds
+    fair = {number: min(rate, capacity / len(sent)) for number, rate in sent.items()}
+    by_second = [sum(report["good_by_second"][second] for report in reports) for second in range(SECONDS)]
+    before = sum(by_second[1:TRIGGER_FROM]) / (TRIGGER_FROM - 1)
+    recovered = next((second - TRIGGER_UNTIL for second in range(TRIGGER_UNTIL, SECONDS - 1)
+                      if by_second[second] >= 0.9 * before), None)
+    return {"offered/s": offered, "before/s": before, "during/s": good_during,
+            "during of capacity": good_during / capacity,
+            "after of before": sum(by_second[TRIGGER_UNTIL + 3:SECONDS - 1]) / (SECONDS - 4 - TRIGGER_UNTIL) / before,
+            "recovery s": recovered, "important served": pay_good / pay_sent,
+            "worst of fair share": min(good[number] / fair[number] for number in good),
+            "deep runs per answer": work_during / (TRIGGER_UNTIL - TRIGGER_FROM) / max(good_during, 0.1),
+            "attempts per request": sum(report["attempts"] for report in reports) /
+            sum(report["sent"] for report in reports)}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--variants", default=",level,guard,allowance,guard+level+allowance",
+                        help="mechanisms left out, one variant after another")
+    parser.add_argument("--demand", type=float, default=1.0, help="factor on the demand")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    for index, variant in enumerate(options.variants.split(",")):
+        found = run_variant(variant.replace("+", ","), f"127.{50 + index}", options.demand, options.seed)
+        name = "without " + variant if variant else "all mechanisms"
+        print(name)
+        for key, value in found.items():
+            print(f"  {key:22} {'never' if value is None else format(value, '.2f')}")
+        sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/dandelionmount/process/local_target.cpp
+++ b/src/dandelionmount/process/local_target.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::uint64_t most_port = 65535;
 constexpr std::uint64_t most_slots = 100000;
+constexpr std::uint32_t unguarded_slots = 1000000;
 
 std::optional<wire::target_state> read_state(const std::string& text) {
     if (text == "starting") {
@@ -38,7 +39,7 @@
     const bool changed = announcement.service != announced_.service || announcement.port != announced_.port ||
                          announcement.slots != announced_.slots || announcement.state != announced_.state;
     announced_ = announcement;
-    set_ceiling(guard_, announcement.slots);
+    set_ceiling(guard_, switches_.guard ? announcement.slots : unguarded_slots);
     if (changed && action_) {
         action_();
     }
@@ -69,7 +70,7 @@
     load.set_in_flight(guard_.in_flight);
     load.set_queued(static_cast<std::uint32_t>(guard_.queue.size));
     load.set_limit(static_cast<std::uint32_t>(std::floor(guard_.limit)));
-    load.set_admission_level(guard_.admission_level);
+    load.set_admission_level(switches_.level ? guard_.admission_level : 0);
     return load;
 }
 
--- a/src/dandelionmount/process/local_target.h
+++ b/src/dandelionmount/process/local_target.h
@@ -2,6 +2,7 @@
 #define DANDELIONMOUNT_PROCESS_LOCAL_TARGET_H
 
 #include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/settings.h"
 #include "dandelionmount/process/target_guard.h"
 #include "dandelionmount/wire/peer.pb.h"
 
@@ -28,7 +29,9 @@
 /// The target of this host, as it announced itself.
 class local_target {
 public:
-    explicit local_target(const time_source& time) : time_(time) {}
+    /// The switches are on in service; see mechanism_switches.
+    explicit local_target(const time_source& time, mechanism_switches switches = {})
+        : time_(time), switches_(switches) {}
 
     void announce(const target_announcement& announcement);
     void withdraw();
@@ -44,6 +47,7 @@
 
 private:
     const time_source& time_;
+    mechanism_switches switches_;
     target_announcement announced_;
     steady_time heard_;
     target_guard guard_;
--- a/src/dandelionmount/process/settings.h
+++ b/src/dandelionmount/process/settings.h
@@ -23,6 +23,18 @@
     std::chrono::milliseconds receive{10000};
 };
 
+/// Mechanisms that a benchmark can take away, to see what each is worth. All are on in service.
+struct mechanism_switches {
+    /// Concurrency limit and queue in front of the target.
+    bool guard{true};
+    /// Refusal at the entrance by the admission level of the workers.
+    bool level{true};
+    /// One retry allowance over the whole tree of calls; without it each hop retries by itself.
+    bool allowance{true};
+    /// The question what became of a request whose connection was lost.
+    bool settle{true};
+};
+
 /// What a process knows before it hears from anybody. Addresses are "IP:PORT".
 struct settings {
     std::string host;
@@ -42,6 +54,7 @@
     /// How long a planned stop waits for requests that run.
     std::chrono::milliseconds stop_wait{30000};
     caller_limits limits;
+    mechanism_switches mechanisms;
 };
 
 /// Settings, or the errors that keep them from being used.
--- a/src/dandelionmount/process/target_guard.cpp
+++ b/src/dandelionmount/process/target_guard.cpp
@@ -12,8 +12,6 @@
 constexpr double least_limit = 1;
 // Weight of the newest call in the mean time.
 constexpr double newest_weight = 0.1;
-// A target that takes this many times its usual time is being given too much.
-constexpr double slow_factor = 3;
 // Drift of the usual time upwards for each call, so that a lasting change is accepted.
 constexpr double usual_drift = 1.002;
 constexpr duration level_window = std::chrono::milliseconds(100);
@@ -100,12 +98,7 @@
                                       std::chrono::duration_cast<duration>(guard.usual_time * usual_drift))
                            : took;
     guard.measured = true;
-    const bool slow = guard.service_time > guard.usual_time * slow_factor;
-    if (slow && guard.limit > guard.ceiling / 2) {
-        guard.limit = std::max(least_limit, guard.limit - 1 / guard.limit);
-    } else {
-        guard.limit = std::min(guard.ceiling, guard.limit + 1 / guard.limit);
-    }
+    guard.limit = std::min(guard.ceiling, guard.limit + 1 / guard.limit);
     update_level(guard, now);
 }
 
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -16,6 +16,8 @@
 // With less time than this left another attempt is not worth its cost.
 constexpr duration least_attempt_time = std::chrono::milliseconds(5);
 constexpr duration overload_return_time = std::chrono::seconds(1);
+// Attempts of each hop when no allowance bounds them.
+constexpr std::uint32_t most_hop_attempts = 4;
 constexpr std::uint32_t server_errors = 500;
 
 // The worker is leaving or gone; the request has nothing to do with it.
@@ -63,7 +65,8 @@
             }
             co_return reply;
         }
-        reply = co_await attempt(order, choice.host, number);
+        order.request.set_attempt(number);
+        reply = co_await attempt(order, choice.host);
         const reason retried = may_retry(order, reply, redirects);
         if (retried == reason::none) {
             co_return reply;
@@ -73,10 +76,8 @@
     }
 }
 
-asio::awaitable<wire::forward_reply> dispatcher::attempt(const dispatch_order& order, std::string host,
-                                                         std::uint32_t number) {
+asio::awaitable<wire::forward_reply> dispatcher::attempt(const dispatch_order& order, std::string host) {
     wire::forward_request request = order.request;
-    request.set_attempt(number);
     request.set_remaining_ms(to_milliseconds(order.deadline - context_.time.now()));
     const std::uint32_t slice = order.allowance->take_slice();
     request.set_allowance(slice);
@@ -115,8 +116,8 @@
     if (!repeatable || is_final(why) || !time_left || order.cancel->requested()) {
         return reason::none;
     }
-    if (context_.unbounded_retries) {
-        return why;
+    if (!context_.uses_allowance) {
+        return order.request.attempt() < most_hop_attempts ? why : reason::none;
     }
     if (proved && is_redirect(why) && redirects < most_redirects) {
         ++redirects;
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -27,8 +27,8 @@
     peer_directory& peers;
     executor& local;
     std::mt19937_64& random;
-    /// Retry at every hop without an allowance. On only in benchmarks, as the thing to compare with.
-    bool unbounded_retries{false};
+    /// Whether retries come out of the request's allowance. Off only in benchmarks: then each hop retries.
+    bool uses_allowance{true};
 };
 
 /// One request on its way to a worker.
@@ -50,8 +50,7 @@
     boost::asio::awaitable<wire::forward_reply> dispatch(dispatch_order order);
 
 private:
-    boost::asio::awaitable<wire::forward_reply> attempt(const dispatch_order& order, std::string host,
-                                                        std::uint32_t number);
+    boost::asio::awaitable<wire::forward_reply> attempt(const dispatch_order& order, std::string host);
     [[nodiscard]] reason may_retry(const dispatch_order& order, const wire::forward_reply& reply,
                                    std::uint32_t& redirects);
     [[nodiscard]] double budget_share(const std::string& service) const;
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -20,6 +20,8 @@
 // A waiting request is refused this long before its deadline, so that the refusal arrives in time to be told.
 constexpr duration reply_margin = std::chrono::milliseconds(3);
 constexpr duration least_return_time = std::chrono::milliseconds(500);
+// A call that missed its deadline after this many times the usual time was kept waiting by the target.
+constexpr int overdue_factor = 2;
 constexpr std::uint32_t service_unavailable = 503;
 constexpr std::uint32_t too_many_requests = 429;
 constexpr std::uint32_t server_errors = 500;
@@ -199,11 +201,14 @@
     const auto now = context_.time.now();
     const reason why = reason_from_token(reply.reason());
     const bool ran = reply.outcome() == wire::ran;
-    if (ran && (reply.status() == service_unavailable || reply.status() == too_many_requests)) {
+    const bool shed = ran && (reply.status() == service_unavailable || reply.status() == too_many_requests);
+    // A deadline that was short from the start says nothing about the target.
+    const bool late = why == reason::deadline && took > overdue_factor * guard.usual_time;
+    if (shed || late) {
         note_end(guard, call_end::overloaded, took, now);
-    } else if ((ran && reply.status() < server_errors) || why == reason::deadline) {
+    } else if (ran && reply.status() < server_errors) {
         note_end(guard, call_end::answered, took, now);
-    } else if (ran || why == reason::caller_gone) {
+    } else if (ran || why == reason::deadline || why == reason::caller_gone) {
         // Says nothing about what the target can do.
         cancel_start(guard);
     } else {
--- a/src/dandelionmountd/main.cpp
+++ b/src/dandelionmountd/main.cpp
@@ -28,6 +28,8 @@
 DEFINE_string(log_address, "", "overrides platform.log_address");
 DEFINE_string(log_level, "", "overrides log.level: debug, info, warning or error");
 
+DEFINE_string(without, "", "for benchmarks: mechanisms to leave out, of guard,level,allowance,settle");
+
 namespace {
 
 namespace asio = boost::asio;
@@ -67,6 +69,15 @@
            override_address(own.platform_address, FLAGS_log_address);
 }
 
+// Leaves out the mechanisms that a benchmark names.
+void switch_mechanisms(dandelionmount::mechanism_switches& mechanisms) {
+    const auto is_on = [](const char* name) { return FLAGS_without.find(name) == std::string::npos; };
+    mechanisms.guard = is_on("guard");
+    mechanisms.level = is_on("level");
+    mechanisms.allowance = is_on("allowance");
+    mechanisms.settle = is_on("settle");
+}
+
 std::optional<std::string> read_secret(const std::string& path) {
     auto secret = read_file(path);
     if (!secret || secret->size() < least_secret_bytes) {
@@ -115,6 +126,7 @@
     if (!override_settings(*outcome.value)) {
         return exit_usage;
     }
+    switch_mechanisms(outcome.value->mechanisms);
     auto secret = read_secret(outcome.value->secret_file);
     if (!secret || !dandelionmount::start_logging(outcome.value->log_level)) {
         return exit_usage;
--- a/standins/standin_caller.cpp
+++ b/standins/standin_caller.cpp
@@ -54,7 +54,8 @@
     std::vector<double> milliseconds;
     std::uint64_t sent{0};
     std::uint64_t attempts{0};
-    /// Whole answers in each second.
+    /// Requests by the second in which they were sent, and those of them that got a whole answer.
+    std::map<int, std::uint64_t> sent_by_second;
     std::map<int, std::uint64_t> good_by_second;
 };
 
@@ -84,10 +85,15 @@
                        ? 0.0
                        : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
         };
-        return {{"address", plan_.address},     {"path", plan_.path},
-                {"sent", result_.sent},         {"attempts", result_.attempts},
-                {"outcomes", result_.outcomes}, {"p50_ms", quantile(0.5)},
-                {"p99_ms", quantile(0.99)},     {"good_by_second", good_by_second()}};
+        return {{"address", plan_.address},
+                {"path", plan_.path},
+                {"sent", result_.sent},
+                {"attempts", result_.attempts},
+                {"outcomes", result_.outcomes},
+                {"p50_ms", quantile(0.5)},
+                {"p99_ms", quantile(0.99)},
+                {"sent_by_second", by_second(result_.sent_by_second)},
+                {"good_by_second", by_second(result_.good_by_second)}};
     }
 
 private:
@@ -98,11 +104,11 @@
     };
     using connection_pointer = std::shared_ptr<connection>;
 
-    json good_by_second() const {
+    static json by_second(const std::map<int, std::uint64_t>& counts) {
         json values = json::array();
         for (int second = 0; second <= static_cast<int>(FLAGS_seconds); ++second) {
-            const auto found = result_.good_by_second.find(second);
-            values.push_back(found == result_.good_by_second.end() ? 0 : found->second);
+            const auto found = counts.find(second);
+            values.push_back(found == counts.end() ? 0 : found->second);
         }
         return values;
     }
@@ -110,6 +116,8 @@
     asio::awaitable<void> send() {
         ++result_.sent;
         const auto sent = std::chrono::steady_clock::now();
+        const int second = static_cast<int>(dandelionmount::to_seconds(sent - began_));
+        ++result_.sent_by_second[second];
         std::string outcome;
         for (int tries = 0; tries <= plan_.retries; ++tries) {
             ++result_.attempts;
@@ -122,7 +130,7 @@
         ++result_.outcomes[outcome];
         if (outcome == "200") {
             result_.milliseconds.push_back(dandelionmount::to_seconds(now - sent) * 1000);
-            ++result_.good_by_second[static_cast<int>(dandelionmount::to_seconds(now - began_))];
+            ++result_.good_by_second[second];
         }
     }
 
