Shed at the entrance by what is overloaded below, and halve the control traffic

Cause: requests were shed by the level of the next workers only, so a chain did its upper part for requests that the deepest service refused; and an idle node sent 4.9 KB/s of datagrams and a heartbeat every 200 ms on each connection, above the 2 KB/s that control may cost. Change: levels rise along the calls to the entrance, which sheds the lowest priority in part and the largest accounts first; witnesses are probed every 1.2 s for a term of 3 s, and connections on which nobody waits have a heartbeat every 1.6 s.

--- a/src/dandelionmount/connection/caller_server.cpp
+++ b/src/dandelionmount/connection/caller_server.cpp
@@ -151,6 +151,8 @@
     forwarded.set_priority(checked.route.priority);
     forwarded.set_idempotent(checked.route.idempotent);
     forwarded.set_open(checked.route.open);
+    order.route = checked.route.prefix;
+    order.enters_here = true;
     copy_request_headers(request, forwarded);
     return order;
 }
--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -16,8 +16,9 @@
 
 constexpr duration connect_limit = std::chrono::milliseconds(500);
 constexpr duration heartbeat_interval = std::chrono::milliseconds(200);
-// A connection on which nothing arrived for this long counts as lost, though it may look open.
-constexpr duration silence_limit = std::chrono::milliseconds(800);
+constexpr int rounds_between_idle_heartbeats = 8;
+// A connection on which nothing follows a heartbeat for this long counts as lost, though it may look open.
+constexpr duration silence_limit = std::chrono::milliseconds(700);
 // How long to try to learn the outcome of a request after its connection was lost.
 constexpr duration settle_limit = std::chrono::milliseconds(2500);
 constexpr duration settle_answer_limit = std::chrono::milliseconds(700);
@@ -166,7 +167,7 @@
     }
     stream_ = stream;
     peer_incarnation_ = peer.value().incarnation;
-    last_heard_ = context_.time.now();
+    unanswered_since_.reset();
     co_return true;
 }
 
@@ -176,16 +177,20 @@
         if (!frame) {
             co_return;
         }
-        last_heard_ = context_.time.now();
+        unanswered_since_.reset();
         take_frame(std::move(frame.value()));
     }
 }
 
+// While nobody waits for a reply a heartbeat now and then is enough, and saves most of the control traffic.
 asio::awaitable<void> peer_link::send_heartbeats(std::shared_ptr<frame_stream> stream) {
-    while (stream->is_open()) {
-        stream->send(make_heartbeat());
+    for (int round = 0; stream->is_open(); ++round) {
+        if (!pending_.empty() || round % rounds_between_idle_heartbeats == 0) {
+            stream->send(make_heartbeat());
+            unanswered_since_ = unanswered_since_.value_or(context_.time.now());
+        }
         co_await sleep_for(context_.executor, heartbeat_interval);
-        if (context_.time.now() - last_heard_ > silence_limit) {
+        if (unanswered_since_ && context_.time.now() - *unanswered_since_ > silence_limit) {
             stream->close();
         }
     }
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -75,7 +75,8 @@
     std::string address_;
     std::shared_ptr<frame_stream> stream_;
     std::uint64_t peer_incarnation_{0};
-    steady_time last_heard_;
+    /// When the first heartbeat was sent that nothing has followed yet.
+    std::optional<steady_time> unanswered_since_;
     bool connecting_{false};
     bool refused_{false};
     bool stopped_{false};
--- a/src/dandelionmount/connection/target_server.cpp
+++ b/src/dandelionmount/connection/target_server.cpp
@@ -69,6 +69,7 @@
     forwarded.set_priority(route.priority);
     forwarded.set_idempotent(route.idempotent);
     forwarded.set_open(route.open);
+    order.route = route.prefix;
     copy_request_headers(request, forwarded);
     if (parent != nullptr) {
         order.deadline = std::min(order.deadline, parent->deadline);
@@ -120,6 +121,7 @@
     const auto reply = co_await context_.requests.dispatch(std::move(order));
     if (parent != nullptr) {
         parent->allowance.give_back(allowance->left());
+        parent->level_below = std::max(parent->level_below, reply.level());
     }
     if (reply.outcome() != wire::ran) {
         context_.counters.refused(reason_from_token(reply.reason()));
--- a/src/dandelionmount/process/gossip_service.cpp
+++ b/src/dandelionmount/process/gossip_service.cpp
@@ -22,7 +22,8 @@
 // Hosts that hear of a change at once; they tell as many in turn.
 constexpr std::size_t spread_fan_out = 4;
 constexpr duration spread_delay = std::chrono::milliseconds(5);
-constexpr int rounds_between_witness_probes = 2;
+// Two probes of each witness fit into the term for which its answer counts.
+constexpr int rounds_between_witness_probes = 8;
 constexpr int rounds_between_searches = 6;
 constexpr int rounds_until_indirect = 2;
 constexpr duration probe_memory = std::chrono::seconds(3);
@@ -237,7 +238,6 @@
 void gossip_service::fill(wire::gossip_datagram& datagram) {
     datagram.set_from(context_.self.host);
     datagram.set_from_incarnation(context_.self.incarnation);
-    datagram.set_from_address(context_.members.self.address());
     datagram.set_state_version(context_.configuration.state().next_offset);
     datagram.set_members_digest(table_digest(context_.members));
     int withdrawals = 0;
--- a/src/dandelionmount/process/membership.h
+++ b/src/dandelionmount/process/membership.h
@@ -19,11 +19,11 @@
 /// Rounds of probing; a suspected host is probed in each of them.
 constexpr duration probe_round = std::chrono::milliseconds(150);
 /// Every that many rounds a new host is probed.
-constexpr int rounds_between_probes = 2;
+constexpr int rounds_between_probes = 3;
 /// Rounds without any answer after which a suspected host counts as dead.
-constexpr int rounds_until_dead = 12;
+constexpr int rounds_until_dead = 10;
 /// Other hosts asked to probe a host that did not answer.
-constexpr std::size_t indirect_probes = 3;
+constexpr std::size_t indirect_probes = 4;
 /// Member records in one datagram, so that it fits an Ethernet frame.
 constexpr std::size_t most_records_in_datagram = 8;
 
--- a/src/dandelionmount/process/slot_lease.h
+++ b/src/dandelionmount/process/slot_lease.h
@@ -15,7 +15,7 @@
 namespace dandelionmount {
 
 /// How long an answer of a witness, or a reading of the log, lets a process use what its host slot holds.
-constexpr duration witness_term = std::chrono::milliseconds(1500);
+constexpr duration witness_term = std::chrono::milliseconds(3000);
 /// How long tokens that were granted may be spent.
 constexpr duration grant_term = std::chrono::milliseconds(1500);
 /// Allowance for clocks that run at different speeds; both sides of a term are this far apart.
--- a/src/dandelionmount/process/target_guard.cpp
+++ b/src/dandelionmount/process/target_guard.cpp
@@ -14,6 +14,9 @@
 constexpr double newest_weight = 0.1;
 // Drift of the usual time upwards for each call, so that a lasting change is accepted.
 constexpr double usual_drift = 1.002;
+// Rise of the level in a window in which all is shed, and its fall in one in which nothing is.
+constexpr double level_rise = 0.1;
+constexpr double level_fall = 0.1;
 constexpr duration level_window = std::chrono::milliseconds(100);
 // The queue holds what the target works off in about two service times.
 constexpr double queue_factor = 2;
@@ -29,7 +32,7 @@
 }
 
 arrival_decision refuse(target_guard& guard, reason why) {
-    guard.shed_in_window = true;
+    ++guard.shed_in_window;
     return {arrival_decision::action::refuse, why, std::nullopt};
 }
 
@@ -49,6 +52,8 @@
 
 arrival_decision decide_arrival(target_guard& guard, const queued_request& request, steady_time deadline,
                                 steady_time now) {
+    ++guard.arrived_in_window;
+    guard.lowest_in_window = std::min(guard.lowest_in_window, request.priority);
     if (has_free_place(guard) && guard.queue.size == 0) {
         ++guard.in_flight;
         return {};
@@ -61,7 +66,7 @@
     arrival_decision decision;
     decision.what = arrival_decision::action::queue;
     if (guard.queue.size >= queue_limit(guard)) {
-        guard.shed_in_window = true;
+        ++guard.shed_in_window;
         decision.evicted = evict_for(guard.queue, request.priority, request.account);
         if (!decision.evicted) {
             return refuse(guard, reason::queue_full);
@@ -86,7 +91,7 @@
     cancel_start(guard);
     if (end != call_end::answered) {
         guard.limit = std::max(least_limit, guard.limit * decrease_factor);
-        guard.shed_in_window = true;
+        ++guard.shed_in_window;
         update_level(guard, now);
         return;
     }
@@ -112,12 +117,19 @@
         return;
     }
     guard.window_began = now;
-    if (guard.shed_in_window) {
-        guard.admission_level = std::min(highest_priority, guard.admission_level + 1);
-    } else if (guard.admission_level > 0) {
-        --guard.admission_level;
+    if (guard.shed_in_window > 0) {
+        const double arrived = std::max(guard.arrived_in_window, guard.shed_in_window);
+        const double shed = guard.shed_in_window / arrived;
+        // Levels below the lowest priority that arrives shed nothing.
+        const double floor = guard.lowest_in_window;
+        const double raised = std::max(guard.admission_level, floor) + level_rise * shed;
+        guard.admission_level = std::min<double>(std::min<double>(highest_priority, floor + 0.9), raised);
+    } else {
+        guard.admission_level = std::max(0.0, guard.admission_level - level_fall);
     }
-    guard.shed_in_window = false;
+    guard.arrived_in_window = 0;
+    guard.shed_in_window = 0;
+    guard.lowest_in_window = highest_priority;
 }
 
 duration return_time(const target_guard& guard, duration least) {
--- a/src/dandelionmount/process/target_guard.h
+++ b/src/dandelionmount/process/target_guard.h
@@ -28,9 +28,12 @@
     bool measured{false};
     /// Least mean time seen in a while; what the target takes when it is not overloaded.
     duration usual_time{std::chrono::milliseconds(5)};
-    /// Lowest priority that still gets in; rides on answers.
-    std::uint32_t admission_level{0};
-    bool shed_in_window{false};
+    /// Requests of lower priority should be shed, those of this one in part: 4.3 sheds 3 of 10 of priority 4.
+    double admission_level{0};
+    std::uint32_t arrived_in_window{0};
+    std::uint32_t shed_in_window{0};
+    /// Lowest priority that arrived in the window.
+    std::uint32_t lowest_in_window{highest_priority};
     steady_time window_began;
 };
 
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -47,15 +47,31 @@
     return settings == nullptr ? 0 : settings->retry_budget;
 }
 
+bool dispatcher::passes(const dispatch_order& order) {
+    std::uniform_real_distribution<double> draw(0, 1);
+    return passes_entrance(route_loads_[order.route], order.request.account(), order.request.priority(),
+                           draw(context_.random), context_.time.now());
+}
+
+// Refuses before any work is spent, since services below would refuse after some.
+wire::forward_reply dispatcher::shed(const dispatch_order& order) {
+    auto reply = make_reply(order.request, wire::not_run, reason::overload);
+    reply.set_retry_after_ms(to_milliseconds(overload_return_time));
+    reply.set_level(current_level(route_loads_[order.route], context_.time.now()));
+    return reply;
+}
+
 asio::awaitable<wire::forward_reply> dispatcher::dispatch(dispatch_order order) {
+    if (order.enters_here && !passes(order)) {
+        co_return shed(order);
+    }
     const std::string service = order.request.service();
     budgets_[service].note_first_attempt(budget_share(service));
     std::vector<std::string> tried;
     std::uint32_t redirects = 0;
     auto reply = make_reply(order.request, wire::not_run, reason::no_target);
     for (std::uint32_t number = 1;; ++number) {
-        const choice_context context{service, context_.members.self.zone(), order.request.priority(), tried,
-                                     context_.time.now()};
+        const choice_context context{service, context_.members.self.zone(), tried, context_.time.now()};
         const auto choice = choose_worker(context, context_.members, workers_, context_.random);
         if (choice.host.empty()) {
             // After an attempt its own outcome says more than that there is no other worker.
@@ -99,6 +115,7 @@
     note_attempt_end(record, is_good(reply), now);
     if (reply.has_load()) {
         note_load(record, reply.load(), now);
+        note_level(route_loads_[order.route], reply.level(), now);
         order.allowance->give_back(std::min(slice, reply.allowance_left()));
     } else if (reply.outcome() == wire::not_run) {
         order.allowance->give_back(slice);
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dandelionmount/process/membership.h"
 #include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/peer_directory.h"
+#include "dandelionmount/request/entrance_shedding.h"
 #include "dandelionmount/request/executor.h"
 #include "dandelionmount/request/retry_allowance.h"
 #include "dandelionmount/request/worker_choice.h"
@@ -35,6 +36,11 @@
 struct dispatch_order {
     /// Filled but for the attempt number, the time left and the allowance.
     wire::forward_request request;
+    /// Prefix of the route, by which load below is known.
+    std::string route;
+    /// Whether the request enters the fleet here. Only then is it shed for load below: a call of a target
+    /// that is shed again at each hop would be shed far too often, and work has been spent on it already.
+    bool enters_here{false};
     steady_time deadline;
     std::shared_ptr<retry_allowance> allowance;
     std::shared_ptr<cancel_token> cancel;
@@ -53,11 +59,14 @@
     boost::asio::awaitable<wire::forward_reply> attempt(const dispatch_order& order, std::string host);
     [[nodiscard]] reason may_retry(const dispatch_order& order, const wire::forward_reply& reply,
                                    std::uint32_t& redirects);
+    [[nodiscard]] bool passes(const dispatch_order& order);
+    [[nodiscard]] wire::forward_reply shed(const dispatch_order& order);
     [[nodiscard]] double budget_share(const std::string& service) const;
 
     dispatcher_context context_;
     std::map<std::string, worker_record, std::less<>> workers_;
     std::map<std::string, retry_budget> budgets_;
+    std::map<std::string, route_load> route_loads_;
 };
 
 } // namespace dandelionmount
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -101,6 +101,7 @@
 void executor::finish(const execution_pointer& one, wire::forward_reply reply) {
     reply.set_allowance_left(one->allowance.left());
     *reply.mutable_load() = context_.target.load();
+    reply.set_level(std::max(reply.load().admission_level(), one->level_below));
     one->reply = std::move(reply);
     one->now = execution::phase::finished;
     one->finished = context_.time.now();
@@ -171,7 +172,7 @@
         const bool changed = co_await one->changed.wait_until(request.start_by);
         waiting_.erase(one->ticket);
         if (!changed && remove_request(guard.queue, one->ticket)) {
-            guard.shed_in_window = true;
+            ++guard.shed_in_window;
             co_return refuse(*one, reason::expired_in_queue);
         }
         if (one->taken_out != reason::none) {
--- a/src/dandelionmount/request/worker_choice.cpp
+++ b/src/dandelionmount/request/worker_choice.cpp
@@ -17,9 +17,6 @@
 constexpr double zone_short = 0.9;
 // At most this share of a service's workers is ejected at a time.
 constexpr double most_ejected = 0.34;
-// Share of requests that reach a worker which sheds their priority, so that its level is heard again.
-constexpr double probe_share = 0.02;
-
 struct candidate {
     const wire::member_record* member{nullptr};
     worker_record* record{nullptr};
@@ -128,15 +125,6 @@
         return {{}, reason::no_target};
     }
     leave_out_ejected(candidates, context.now);
-    const auto admits = [&](const candidate& one) {
-        return !report_is_fresh(*one.record, context.now) ||
-               one.record->load.admission_level() <= context.priority;
-    };
-    const bool any_admits = filter(candidates, admits);
-    std::uniform_real_distribution<double> chance(0, 1);
-    if (!any_admits && chance(random) >= probe_share) {
-        return {{}, reason::overload};
-    }
     prefer_own_zone(candidates, context.zone);
     return {draw_better_of_two(candidates, random).member->host(), reason::none};
 }
--- a/src/dandelionmount/request/worker_choice.h
+++ b/src/dandelionmount/request/worker_choice.h
@@ -33,7 +33,6 @@
 struct choice_context {
     std::string_view service;
     std::string_view zone;
-    std::uint32_t priority{0};
     std::span<const std::string> excluded;
     steady_time now;
 };
