--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -89,26 +89,27 @@
         named.set_attempt(attempt);
         this->cancel(named);
     });
-    co_await run_and_reply(one);
+    auto reply = co_await run_and_reply(one);
     executions_.erase(forward_key(one->request.id(), one->request.attempt()));
-    DANDELIONMOUNT_INVARIANT(one->reply.has_value());
-    co_return *one->reply;
+    co_return reply;
 }
 
-asio::awaitable<void> executor::run_and_reply(execution_pointer one) {
-    auto reply = co_await run(one);
-    finish(one, std::move(reply));
+asio::awaitable<wire::forward_reply> executor::run_and_reply(execution_pointer one) {
+    auto outcome = co_await run(one);
+    auto reply = finish(one, std::move(outcome));
     send_reply(*one);
+    co_return reply;
 }
 
-void executor::finish(const execution_pointer& one, wire::forward_reply reply) {
+wire::forward_reply executor::finish(const execution_pointer& one, wire::forward_reply reply) {
     reply.set_allowance_left(one->allowance.left());
     *reply.mutable_load() = context_.target.load();
     reply.set_level(std::max(reply.load().admission_level(), one->level_below));
-    one->reply = std::move(reply);
+    one->reply = reply;
     one->now = execution::phase::finished;
     one->finished = context_.time.now();
     active_.erase(one->request.id());
+    return reply;
 }
 
 reason executor::check_request(const execution& one) const {
@@ -222,7 +223,11 @@
 
 void executor::start_waiting() {
     auto& guard = context_.target.guard();
-    for (auto next = next_start(guard); next.has_value(); next = next_start(guard)) {
+    while (true) {
+        const auto next = next_start(guard);
+        if (!next) {
+            return;
+        }
         const auto found = waiting_.find(next->ticket);
         DANDELIONMOUNT_INVARIANT(found != waiting_.end());
         found->second->now = execution::phase::running;
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -82,7 +82,7 @@
     void forget_old();
 
 private:
-    boost::asio::awaitable<void> run_and_reply(execution_pointer one);
+    boost::asio::awaitable<wire::forward_reply> run_and_reply(execution_pointer one);
     boost::asio::awaitable<wire::forward_reply> run(execution_pointer one);
     boost::asio::awaitable<wire::forward_reply> wait_for_start(execution_pointer one, bool& started);
     boost::asio::awaitable<wire::forward_reply> run_at_target(execution_pointer one);
@@ -90,7 +90,8 @@
     [[nodiscard]] wire::forward_reply refuse(const execution& one, reason why) const;
     void start_waiting();
     void take_out(std::uint64_t ticket, reason why);
-    void finish(const execution_pointer& one, wire::forward_reply reply);
+    /// Completes the reply and keeps it; returns it as it is sent.
+    wire::forward_reply finish(const execution_pointer& one, wire::forward_reply reply);
     void note_call_end(const wire::forward_reply& reply, duration took);
 
     /// An attempt that must not start any more.
