Shed at the entrance by each account's share of the fleet's demand

Cause: an entrance knew one level for a route and the demand of its own callers, so it shed accounts that enter at many nodes less than others, and what an account got for important requests did not count. Change: a request that passes the entrance carries the number of requests it stands for; the target's node adds these up by priority and account, shares its measured capacity (Little's law, lowered as its queue fills) max-min over all priorities, and the reply carries demand per request that may come. Entrances average that and cut it off at 1 only then. Refused callers are told times to come back that spread with the share.

--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -318,7 +318,6 @@
         }
         switch (reply->settle_reply().state()) {
         case wire::settle_not_seen:
-        case wire::settle_dropped:
             co_return settle_outcome::not_run;
         case wire::settle_running:
         case wire::settle_finished:
--- a/src/dandelionmount/connection/target_server.cpp
+++ b/src/dandelionmount/connection/target_server.cpp
@@ -65,6 +65,7 @@
         order.deadline = std::min(order.deadline, parent->deadline);
         forwarded.set_account(parent->request.account());
         forwarded.set_key_id(parent->request.key_id());
+        forwarded.set_weight(parent->request.weight());
         // Work below a request is worth as much as the request itself.
         forwarded.set_priority(std::max(route.priority, parent->request.priority()));
     }
@@ -111,7 +112,7 @@
     const auto reply = co_await context_.requests.dispatch(std::move(order));
     if (parent != nullptr) {
         parent->allowance.give_back(allowance->left());
-        parent->level_below = std::max(parent->level_below, reply.level());
+        parent->ratio_below = std::max(parent->ratio_below, reply.demand_ratio());
     }
     if (reply.outcome() != wire::ran) {
         context_.counters.refused(reason_from_token(reply.reason()));
--- a/src/dandelionmount/process/admission_queue.cpp
+++ b/src/dandelionmount/process/admission_queue.cpp
@@ -81,24 +81,6 @@
     return false;
 }
 
-std::vector<queued_request> remove_expired(admission_queue& queue, steady_time now) {
-    std::vector<queued_request> expired;
-    for (auto& [priority, accounts] : queue.by_priority) {
-        for (auto& [account, requests] : accounts) {
-            std::erase_if(requests, [&](queued_request& request) {
-                if (request.start_by > now) {
-                    return false;
-                }
-                expired.push_back(std::move(request));
-                return true;
-            });
-        }
-    }
-    queue.size -= expired.size();
-    drop_empty(queue);
-    return expired;
-}
-
 std::optional<queued_request> evict_for(admission_queue& queue, std::uint32_t priority,
                                         const std::string& account) {
     if (queue.by_priority.empty()) {
--- a/src/dandelionmount/process/admission_queue.h
+++ b/src/dandelionmount/process/admission_queue.h
@@ -22,6 +22,9 @@
     steady_time arrived;
     /// When it has to start at the latest.
     steady_time start_by;
+    /// How many requests it stands for, as the others were shed before they came here; 0 for a further
+    /// attempt of one that has been counted.
+    double weight{1};
 };
 
 /// Requests by priority and, within one, by client account in turn.
@@ -39,8 +42,6 @@
 [[nodiscard]] std::optional<queued_request> pop_request(admission_queue& queue);
 /// Takes out one request wherever it stands; false when it is not there.
 bool remove_request(admission_queue& queue, std::uint64_t ticket);
-/// Takes out the requests that can't start in time any more.
-[[nodiscard]] std::vector<queued_request> remove_expired(admission_queue& queue, steady_time now);
 /// The request that gives way to a newcomer: of lower priority, or of the account that waits with the most.
 [[nodiscard]] std::optional<queued_request> evict_for(admission_queue& queue, std::uint32_t priority,
                                                       const std::string& account);
--- a/src/dandelionmount/process/local_target.cpp
+++ b/src/dandelionmount/process/local_target.cpp
@@ -70,10 +70,14 @@
     load.set_in_flight(guard_.in_flight);
     load.set_queued(static_cast<std::uint32_t>(guard_.queue.size));
     load.set_limit(static_cast<std::uint32_t>(std::floor(guard_.limit)));
-    load.set_admission_level(switches_.level ? guard_.admission_level : 0);
     return load;
 }
 
+double local_target::demand_ratio(std::uint32_t priority, std::string_view account) const {
+    const auto* demand = switches_.shares ? find_demand(guard_.demands, priority, account) : nullptr;
+    return demand == nullptr ? 0 : demand->ratio;
+}
+
 std::optional<target_announcement> read_announcement(std::string_view text) {
     const auto source = nlohmann::json::parse(text, nullptr, false);
     if (!source.is_object() || !source.contains("service") || !source["service"].is_string() ||
--- a/src/dandelionmount/process/local_target.h
+++ b/src/dandelionmount/process/local_target.h
@@ -44,6 +44,10 @@
     [[nodiscard]] bool is_ready_for(std::string_view service) const;
     [[nodiscard]] target_guard& guard() { return guard_; }
     [[nodiscard]] wire::load_report load() const;
+    /// An account's requests for each one that the target can take; all may come up to 1.
+    [[nodiscard]] double demand_ratio(std::uint32_t priority, std::string_view account) const;
+    /// The share of all requests that the target can take, 0 to 1.
+    [[nodiscard]] double share_of_all() const { return total_share(guard_.demands); }
 
 private:
     const time_source& time_;
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -175,7 +175,7 @@
     for (int round = 1; !stopping_; ++round) {
         co_await sleep_for(io_.get_executor(), upkeep_interval);
         target_.check_silence();
-        update_level(target_.guard(), time_.now());
+        update_demands(target_.guard(), time_.now());
         rates_.report();
         if (round % upkeep_rounds_of_second == 0) {
             executor_.forget_old();
--- a/src/dandelionmount/process/settings.h
+++ b/src/dandelionmount/process/settings.h
@@ -27,8 +27,8 @@
 struct mechanism_switches {
     /// Concurrency limit and queue in front of the target.
     bool guard{true};
-    /// Refusal at the entrance by the admission level of the workers.
-    bool level{true};
+    /// Refusal at the entrance by the shares of demand that the workers can take.
+    bool shares{true};
     /// One retry allowance over the whole tree of calls; without it each hop retries by itself.
     bool allowance{true};
     /// The question what became of a request whose connection was lost.
--- a/src/dandelionmount/process/target_guard.cpp
+++ b/src/dandelionmount/process/target_guard.cpp
@@ -3,6 +3,7 @@
 #include "dandelionmount/process/result.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace dandelionmount {
 
@@ -10,14 +11,17 @@
 
 constexpr double decrease_factor = 0.9;
 constexpr double least_limit = 1;
+constexpr double least_service_seconds = 1e-6;
 // Weight of the newest call in the mean time.
-constexpr double newest_weight = 0.1;
+constexpr double newest_weight = 0.2;
 // Drift of the usual time upwards for each call, so that a lasting change is accepted.
 constexpr double usual_drift = 1.002;
-// Rise of the level in a window in which all is shed, and its fall in one in which nothing is.
-constexpr double level_rise = 0.1;
-constexpr double level_fall = 0.1;
-constexpr duration level_window = std::chrono::milliseconds(100);
+// Part of the measured capacity that is asked for while nothing waits, so that spare capacity is found.
+constexpr double idle_headroom = 2;
+// The same with a queue that has just become empty, and what a full queue takes off it: the queue settles
+// where as much is asked for as is worked off.
+constexpr double busy_headroom = 1.15;
+constexpr double full_queue_reduction = 0.4;
 // The queue holds what the target works off in about two service times.
 constexpr double queue_factor = 2;
 constexpr std::size_t least_queue = 8;
@@ -31,8 +35,7 @@
         guard.service_time * (static_cast<double>(ahead) / std::max(guard.limit, least_limit)));
 }
 
-arrival_decision refuse(target_guard& guard, reason why) {
-    ++guard.shed_in_window;
+arrival_decision refuse(reason why) {
     return {arrival_decision::action::refuse, why, std::nullopt};
 }
 
@@ -52,8 +55,7 @@
 
 arrival_decision decide_arrival(target_guard& guard, const queued_request& request, steady_time deadline,
                                 steady_time now) {
-    ++guard.arrived_in_window;
-    guard.lowest_in_window = std::min(guard.lowest_in_window, request.priority);
+    note_demand(guard.demands, request.priority, request.account, request.weight);
     if (has_free_place(guard) && guard.queue.size == 0) {
         ++guard.in_flight;
         return {};
@@ -61,18 +63,18 @@
     const std::size_t ahead = requests_ahead(guard.queue, request.priority) + 1;
     const duration wait = expected_wait(guard, ahead);
     if (now + wait + guard.service_time > deadline) {
-        return refuse(guard, reason::cannot_finish);
+        return refuse(reason::cannot_finish);
     }
     arrival_decision decision;
     decision.what = arrival_decision::action::queue;
     if (guard.queue.size >= queue_limit(guard)) {
-        ++guard.shed_in_window;
         decision.evicted = evict_for(guard.queue, request.priority, request.account);
         if (!decision.evicted) {
-            return refuse(guard, reason::queue_full);
+            return refuse(reason::queue_full);
         }
     }
     push_request(guard.queue, request);
+    guard.most_queued = std::max(guard.most_queued, guard.queue.size);
     return decision;
 }
 
@@ -91,8 +93,7 @@
     cancel_start(guard);
     if (end != call_end::answered) {
         guard.limit = std::max(least_limit, guard.limit * decrease_factor);
-        ++guard.shed_in_window;
-        update_level(guard, now);
+        update_demands(guard, now);
         return;
     }
     const double weight = guard.measured ? newest_weight : 1;
@@ -104,7 +105,7 @@
                            : took;
     guard.measured = true;
     guard.limit = std::min(guard.ceiling, guard.limit + 1 / guard.limit);
-    update_level(guard, now);
+    update_demands(guard, now);
 }
 
 void cancel_start(target_guard& guard) {
@@ -112,24 +113,24 @@
     --guard.in_flight;
 }
 
-void update_level(target_guard& guard, steady_time now) {
-    if (now - guard.window_began < level_window) {
-        return;
+double usable_capacity(const target_guard& guard) {
+    if (!guard.measured) {
+        return std::numeric_limits<double>::infinity();
+    }
+    // Little's law: what is under way is the rate times the time that each takes.
+    const double capacity = guard.limit / std::max(to_seconds(guard.service_time), least_service_seconds);
+    if (guard.most_queued == 0) {
+        return capacity * idle_headroom;
     }
-    guard.window_began = now;
-    if (guard.shed_in_window > 0) {
-        const double arrived = std::max(guard.arrived_in_window, guard.shed_in_window);
-        const double shed = guard.shed_in_window / arrived;
-        // Levels below the lowest priority that arrives shed nothing.
-        const double floor = guard.lowest_in_window;
-        const double raised = std::max(guard.admission_level, floor) + level_rise * shed;
-        guard.admission_level = std::min<double>(std::min<double>(highest_priority, floor + 0.9), raised);
-    } else {
-        guard.admission_level = std::max(0.0, guard.admission_level - level_fall);
+    const double filled = static_cast<double>(guard.queue.size) / static_cast<double>(queue_limit(guard));
+    return capacity * (busy_headroom - full_queue_reduction * std::min(filled, 1.0));
+}
+
+void update_demands(target_guard& guard, steady_time now) {
+    if (is_window_over(guard.demands, now)) {
+        update_shares(guard.demands, usable_capacity(guard), now);
+        guard.most_queued = guard.queue.size;
     }
-    guard.arrived_in_window = 0;
-    guard.shed_in_window = 0;
-    guard.lowest_in_window = highest_priority;
 }
 
 duration return_time(const target_guard& guard, duration least) {
--- a/src/dandelionmount/process/target_guard.h
+++ b/src/dandelionmount/process/target_guard.h
@@ -3,6 +3,7 @@
 
 #include "dandelionmount/process/admission_queue.h"
 #include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/demand_shares.h"
 #include "dandelionmount/process/reason.h"
 
 #include <cstdint>
@@ -12,9 +13,6 @@
 
 namespace dandelionmount {
 
-/// Highest priority; requests of it are never shed before they reach the target's host.
-constexpr std::uint32_t highest_priority = 9;
-
 /// What a host has learnt of its own target, and the requests that wait for it.
 struct target_guard {
     /// Most requests at once that the target announced; a ceiling, for announcements mislead.
@@ -28,13 +26,10 @@
     bool measured{false};
     /// Least mean time seen in a while; what the target takes when it is not overloaded.
     duration usual_time{std::chrono::milliseconds(5)};
-    /// Requests of lower priority should be shed, those of this one in part: 4.3 sheds 3 of 10 of priority 4.
-    double admission_level{0};
-    std::uint32_t arrived_in_window{0};
-    std::uint32_t shed_in_window{0};
-    /// Lowest priority that arrived in the window.
-    std::uint32_t lowest_in_window{highest_priority};
-    steady_time window_began;
+    /// What the fleet asks of the target, and the part of it that should come.
+    demand_table demands;
+    /// Most requests that waited at once in the present window of the demand.
+    std::size_t most_queued{0};
 };
 
 /// What happens to a request that arrives.
@@ -60,8 +55,10 @@
 void note_end(target_guard& guard, call_end end, duration took, steady_time now);
 /// Gives a place back that was taken for a request which then did not reach the target.
 void cancel_start(target_guard& guard);
-/// Moves the admission level when its window is over.
-void update_level(target_guard& guard, steady_time now);
+/// Works the shares of the demand out anew when their window is over.
+void update_demands(target_guard& guard, steady_time now);
+/// Requests a second that the target can take; infinite before anything was measured.
+[[nodiscard]] double usable_capacity(const target_guard& guard);
 /// When a refused caller should come back: how long the queue takes to empty, at least `least`.
 [[nodiscard]] duration return_time(const target_guard& guard, duration least);
 
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -38,6 +38,14 @@
     return ran_well || shed || why == reason::caller_gone || why == reason::deadline;
 }
 
+request_class class_of(const dispatch_order& order) {
+    return {order.route, order.request.priority(), order.request.account()};
+}
+
+double draw_number(std::mt19937_64& random) {
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatcher_context context) : context_(context) {}
@@ -47,22 +55,27 @@
     return settings == nullptr ? 0 : settings->retry_budget;
 }
 
-bool dispatcher::passes(const dispatch_order& order) {
-    std::uniform_real_distribution<double> draw(0, 1);
-    return passes_entrance(route_loads_[order.route], order.request.account(), order.request.priority(),
-                           draw(context_.random), context_.time.now());
+// A request that passes stands for those of its class that were shed, so that the services below know the
+// whole demand.
+bool dispatcher::passes_entrance(dispatch_order& order) {
+    const double share = passing_share(ratios_, class_of(order), context_.time.now());
+    if (share < 1 && draw_number(context_.random) >= share) {
+        return false;
+    }
+    order.request.set_weight(1 / share);
+    return true;
 }
 
 // Refuses before any work is spent, since services below would refuse after some.
 wire::forward_reply dispatcher::shed(const dispatch_order& order) {
+    const double share = passing_share(ratios_, class_of(order), context_.time.now());
     auto reply = make_reply(order.request, wire::not_run, reason::overload);
-    reply.set_retry_after_ms(to_milliseconds(overload_return_time));
-    reply.set_level(current_level(route_loads_[order.route], context_.time.now()));
+    reply.set_retry_after_ms(to_milliseconds(shed_return_time(share, draw_number(context_.random))));
     return reply;
 }
 
 asio::awaitable<wire::forward_reply> dispatcher::dispatch(dispatch_order order) {
-    if (order.enters_here && !passes(order)) {
+    if (order.enters_here && !passes_entrance(order)) {
         co_return shed(order);
     }
     const std::string service = order.request.service();
@@ -113,9 +126,11 @@
     worker_record& record = workers_[host];
     record.in_flight -= record.in_flight > 0 ? 1 : 0;
     note_attempt_end(record, is_good(reply), now);
+    if (order.enters_here && reply.has_demand_ratio()) {
+        note_ratio(ratios_, class_of(order), reply.demand_ratio(), now);
+    }
     if (reply.has_load()) {
         note_load(record, reply.load(), now);
-        note_level(route_loads_[order.route], reply.level(), now);
         order.allowance->give_back(std::min(slice, reply.allowance_left()));
     } else if (reply.outcome() == wire::not_run) {
         order.allowance->give_back(slice);
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -36,7 +36,7 @@
 struct dispatch_order {
     /// Filled but for the attempt number, the time left and the allowance.
     wire::forward_request request;
-    /// Prefix of the route, by which load below is known.
+    /// Prefix of the route, by which the load of the services below is known.
     std::string route;
     /// Whether the request enters the fleet here. Only then is it shed for load below: a call of a target
     /// that is shed again at each hop would be shed far too often, and work has been spent on it already.
@@ -59,14 +59,14 @@
     boost::asio::awaitable<wire::forward_reply> attempt(const dispatch_order& order, std::string host);
     [[nodiscard]] reason may_retry(const dispatch_order& order, const wire::forward_reply& reply,
                                    std::uint32_t& redirects);
-    [[nodiscard]] bool passes(const dispatch_order& order);
+    [[nodiscard]] bool passes_entrance(dispatch_order& order);
     [[nodiscard]] wire::forward_reply shed(const dispatch_order& order);
     [[nodiscard]] double budget_share(const std::string& service) const;
 
     dispatcher_context context_;
     std::map<std::string, worker_record, std::less<>> workers_;
     std::map<std::string, retry_budget> budgets_;
-    std::map<std::string, route_load> route_loads_;
+    ratio_table ratios_;
 };
 
 } // namespace dandelionmount
--- a/src/dandelionmount/request/entrance_shedding.cpp
+++ b/src/dandelionmount/request/entrance_shedding.cpp
@@ -7,73 +7,54 @@
 
 namespace {
 
-// Weight of the newest answer in the level, as answers come from several workers.
-constexpr double newest_weight = 0.2;
-constexpr duration level_life = std::chrono::seconds(1);
-constexpr duration demand_half_life = std::chrono::milliseconds(500);
-// Demand below this is forgotten.
-constexpr double least_demand = 0.01;
-// However high the level, this share passes, so that its fall is heard.
+// Weight of the newest answer: answers come from several workers, and few requests of a class reach each.
+constexpr double newest_weight = 0.3;
+// The same for one that says that there is room for all: it comes from a worker with spare capacity, not by
+// chance.
+constexpr double idle_weight = 0.6;
+// A ratio that is not heard any more halves in this time.
+constexpr duration halving_time = std::chrono::milliseconds(500);
+// How long a ratio counts as heard: an answer from a slow service takes as long.
+constexpr duration fresh_time = std::chrono::milliseconds(500);
+// However overloaded the services below are, this share passes, so that the end of it is heard.
 constexpr double probe_share = 0.02;
-
-void age_demand(route_load& load, steady_time now) {
-    const double half_lives = to_seconds(now - load.demand_aged) / to_seconds(demand_half_life);
-    const double factor = std::exp2(-half_lives);
-    load.demand_aged = now;
-    for (auto& [account, demand] : load.demand) {
-        demand *= factor;
-    }
-    std::erase_if(load.demand, [](const auto& entry) { return entry.second < least_demand; });
+// Ratios below this are not worth their memory.
+constexpr double least_ratio = 0.5;
+constexpr duration least_return_time = std::chrono::seconds(1);
+constexpr duration most_return_time = std::chrono::seconds(10);
+
+double ratio_now(const heard_ratio& known, steady_time now) {
+    const duration silent = std::max<duration>(duration{0}, now - known.heard - fresh_time);
+    return known.ratio * std::exp2(-to_seconds(silent) / to_seconds(halving_time));
 }
 
 } // namespace
 
-void note_level(route_load& load, double level, steady_time now) {
-    const double before = current_level(load, now);
-    load.level = before + newest_weight * (level - before);
-    load.level_heard = now;
-}
-
-double current_level(const route_load& load, steady_time now) {
-    const bool fresh = load.level_heard != steady_time{} && now - load.level_heard < level_life;
-    return fresh ? load.level : 0;
-}
-
-double passing_share(double level, std::uint32_t priority) {
-    return std::clamp(static_cast<double>(priority) + 1 - level, 0.0, 1.0);
+void note_ratio(ratio_table& table, const request_class& name, double ratio, steady_time now) {
+    const auto found = table.find(name);
+    const double before = found == table.end() ? 0 : ratio_now(found->second, now);
+    const double weight = ratio <= 0 ? idle_weight : newest_weight;
+    const double after = before + weight * (std::min(ratio, 1 / probe_share) - before);
+    if (after > least_ratio) {
+        table[name] = {after, now};
+    } else if (table.erase(name) > 0) {
+        // Classes that nobody sends any more have no answers that could remove them.
+        std::erase_if(table, [now](const auto& entry) { return ratio_now(entry.second, now) < least_ratio; });
+    }
 }
 
-double fair_threshold(std::vector<double> demands, double share) {
-    std::sort(demands.begin(), demands.end());
-    double left = 0;
-    for (const double demand : demands) {
-        left += demand * share;
-    }
-    for (std::size_t index = 0; index < demands.size(); ++index) {
-        const double equal = left / static_cast<double>(demands.size() - index);
-        if (demands[index] > equal) {
-            return equal;
-        }
-        left -= demands[index];
+double passing_share(const ratio_table& table, const request_class& name, steady_time now) {
+    const auto found = table.find(name);
+    if (found == table.end()) {
+        return 1;
     }
-    return demands.empty() ? 0 : demands.back();
+    return std::clamp(1 / ratio_now(found->second, now), probe_share, 1.0);
 }
 
-bool passes_entrance(route_load& load, const std::string& account, std::uint32_t priority, double draw,
-                     steady_time now) {
-    age_demand(load, now);
-    load.demand[account] += 1;
-    const double share = passing_share(current_level(load, now), priority);
-    if (share >= 1) {
-        return true;
-    }
-    std::vector<double> demands;
-    demands.reserve(load.demand.size());
-    for (const auto& [name, demand] : load.demand) {
-        demands.push_back(demand);
-    }
-    const double threshold = fair_threshold(std::move(demands), share);
-    return draw < std::max(probe_share, threshold / load.demand[account]);
+duration shed_return_time(double share, double draw) {
+    const double most =
+        std::min(to_seconds(least_return_time) / std::max(share, probe_share), to_seconds(most_return_time));
+    return least_return_time + from_seconds(draw * (most - to_seconds(least_return_time)));
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/request/entrance_shedding.h
+++ b/src/dandelionmount/request/entrance_shedding.h
@@ -6,32 +6,39 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <vector>
+#include <tuple>
 
 namespace dandelionmount {
 
-/// What an entrance knows of one route: how overloaded the services below it are, and who asks for it.
-struct route_load {
-    /// Requests of lower priority are shed, those of this one in part: 4.3 sheds 3 of 10 of priority 4.
-    double level{0};
-    steady_time level_heard;
-    /// Requests of each client account in about the last second.
-    std::map<std::string, double> demand;
-    steady_time demand_aged;
+/// Requests that are shed alike at an entrance.
+struct request_class {
+    std::string route;
+    std::uint32_t priority{0};
+    std::string account;
+
+    bool operator<(const request_class& other) const {
+        return std::tie(route, priority, account) < std::tie(other.route, other.priority, other.account);
+    }
+};
+
+/// How much more is asked for than the services below can take, for one class of requests.
+struct heard_ratio {
+    /// Mean of the ratios heard: requests for each one that may come.
+    double ratio{0};
+    steady_time heard;
 };
 
-/// Takes in a level that came with an answer.
-void note_level(route_load& load, double level, steady_time now);
-/// The level that still counts; 0 when nothing has been heard for a while.
-[[nodiscard]] double current_level(const route_load& load, steady_time now);
-/// The share of requests of a priority that passes at a level, 0 to 1.
-[[nodiscard]] double passing_share(double level, std::uint32_t priority);
-/// The demand up to which each account passes, so that `share` of all demand passes: those that ask for less
-/// pass whole. Source: max-min fairness, Bertsekas and Gallager, "Data Networks", section 6.5.
-[[nodiscard]] double fair_threshold(std::vector<double> demands, double share);
-/// Notes a request and decides on it; `draw` is a random number from 0 to 1.
-[[nodiscard]] bool passes_entrance(route_load& load, const std::string& account, std::uint32_t priority,
-                                   double draw, steady_time now);
+/// What an entrance knows of the services below: only classes of which not all requests may come, or nearly
+/// so.
+using ratio_table = std::map<request_class, heard_ratio>;
+
+/// Takes in a ratio that came with an answer.
+void note_ratio(ratio_table& table, const request_class& name, double ratio, steady_time now);
+/// The share that passes now, above 0. It grows while nothing is heard, so that the end of an overload is
+/// noticed.
+[[nodiscard]] double passing_share(const ratio_table& table, const request_class& name, steady_time now);
+/// When a request that was shed should come back; `draw`, 0 to 1, spreads those that were shed together.
+[[nodiscard]] duration shed_return_time(double share, double draw);
 
 } // namespace dandelionmount
 
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -38,6 +38,14 @@
     return !request.idempotent() && has_idempotency_key(request);
 }
 
+// Each request is demand once, however many attempts it needs.
+double demand_weight(const wire::forward_request& request) {
+    if (request.attempt() > 1) {
+        return 0;
+    }
+    return request.weight() > 0 ? request.weight() : 1;
+}
+
 void send_reply(const execution& one) {
     const auto stream = one.stream.lock();
     if (stream && one.reply) {
@@ -104,7 +112,8 @@
 wire::forward_reply executor::finish(const execution_pointer& one, wire::forward_reply reply) {
     reply.set_allowance_left(one->allowance.left());
     *reply.mutable_load() = context_.target.load();
-    reply.set_level(std::max(reply.load().admission_level(), one->level_below));
+    const double ratio = context_.target.demand_ratio(one->request.priority(), one->request.account());
+    reply.set_demand_ratio(std::max(ratio, one->ratio_below));
     one->reply = reply;
     one->now = execution::phase::finished;
     one->finished = context_.time.now();
@@ -161,10 +170,10 @@
     auto& guard = context_.target.guard();
     const auto now = context_.time.now();
     one->ticket = next_ticket_++;
-    const queued_request request{one->ticket, one->request.priority(), one->request.account(), now,
-                                 one->deadline - reply_margin};
+    const queued_request request{one->ticket, one->request.priority(),      one->request.account(),
+                                 now,         one->deadline - reply_margin, demand_weight(one->request)};
     const auto decision = decide_arrival(guard, request, one->deadline, now);
-    update_level(guard, now);
+    update_demands(guard, now);
     if (decision.evicted) {
         take_out(decision.evicted->ticket, reason::overload);
     }
@@ -176,7 +185,6 @@
         const bool changed = co_await one->changed.wait_until(request.start_by);
         waiting_.erase(one->ticket);
         if (!changed && remove_request(guard.queue, one->ticket)) {
-            ++guard.shed_in_window;
             co_return refuse(*one, reason::expired_in_queue);
         }
         if (one->taken_out != reason::none) {
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -32,8 +32,8 @@
     retry_allowance allowance;
     phase now{phase::waiting};
     std::uint64_t ticket{0};
-    /// The highest admission level that the target's own calls met.
-    double level_below{0};
+    /// The largest ratio of demand to capacity that the target's own calls met.
+    double ratio_below{0};
     /// Why a waiting request was taken out of the queue.
     reason taken_out{reason::none};
     std::shared_ptr<cancel_token> cancel;
--- a/src/dandelionmountd/main.cpp
+++ b/src/dandelionmountd/main.cpp
@@ -28,7 +28,7 @@
 DEFINE_string(log_address, "", "overrides platform.log_address");
 DEFINE_string(log_level, "", "overrides log.level: debug, info, warning or error");
 
-DEFINE_string(without, "", "for benchmarks: mechanisms to leave out, of guard,level,allowance,settle");
+DEFINE_string(without, "", "for benchmarks: mechanisms to leave out, of guard,shares,allowance,settle");
 
 namespace {
 
@@ -73,7 +73,7 @@
 void switch_mechanisms(dandelionmount::mechanism_switches& mechanisms) {
     const auto is_on = [](const char* name) { return FLAGS_without.find(name) == std::string::npos; };
     mechanisms.guard = is_on("guard");
-    mechanisms.level = is_on("level");
+    mechanisms.shares = is_on("shares");
     mechanisms.allowance = is_on("allowance");
     mechanisms.settle = is_on("settle");
 }
