Remember keepers of accounts, and look for old claims once a second

Cause: each request hashed every slot of its zone to find out who keeps its account's share (844 strings at the two-year size), and each claim walked all records (100,000 at most). Both grow with the fleet. Change: keepers are remembered by account and zone, at most 1,000 accounts; old claims are dropped once a second, and an old one that is asked for at once. Conclusion: the cost of a request no longer depends on the zone's size there.

--- a/src/dandelionmount/process/claim_service.cpp
+++ b/src/dandelionmount/process/claim_service.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <set>
 
 namespace dandelionmount {
 
--- a/src/dandelionmount/process/claim_store.cpp
+++ b/src/dandelionmount/process/claim_store.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Looking through all records at each claim would make a claim the dearer the more there are.
+constexpr duration expiry_interval = std::chrono::seconds(1);
+
 bool has_room(const claim_store& store) {
     return store.entries.size() < most_claims && store.answer_bytes < most_claim_bytes;
 }
@@ -27,6 +30,10 @@
     return reply;
 }
 
+bool is_past(const claim_store& store, const claim_entry& entry, steady_time now) {
+    return now - entry.claimed > store.window;
+}
+
 void drop_entry(claim_store& store, std::map<claim_name, claim_entry>::iterator entry) {
     store.answer_bytes -= entry->second.answer.body().size();
     store.entries.erase(entry);
@@ -35,10 +42,16 @@
 } // namespace
 
 wire::claim_reply answer_claim(claim_store& store, const wire::claim_request& ask, steady_time now) {
-    expire_claims(store, now);
+    if (now - store.expired >= expiry_interval) {
+        expire_claims(store, now);
+    }
     const claim_name name{ask.account(), ask.key()};
     wire::claim_reply reply;
-    const auto found = store.entries.find(name);
+    auto found = store.entries.find(name);
+    if (found != store.entries.end() && is_past(store, found->second, now)) {
+        drop_entry(store, found);
+        found = store.entries.end();
+    }
     if (found != store.entries.end()) {
         reply = answer_known(found->second, ask);
     } else if (!store.complete || !has_room(store)) {
@@ -86,9 +99,10 @@
 }
 
 void expire_claims(claim_store& store, steady_time now) {
+    store.expired = now;
     for (auto entry = store.entries.begin(); entry != store.entries.end();) {
         const auto current = entry++;
-        if (now - current->second.claimed > store.window) {
+        if (is_past(store, current->second, now)) {
             drop_entry(store, current);
         }
     }
--- a/src/dandelionmount/process/claim_store.h
+++ b/src/dandelionmount/process/claim_store.h
@@ -44,6 +44,8 @@
     /// False while records of an earlier process in this slot may be missing: then no key counts as new.
     bool complete{false};
     duration window{std::chrono::seconds(300)};
+    /// When all records were last looked through for old ones.
+    steady_time expired;
 };
 
 /// Answers a claim: granted once for each key, and again to the request that holds it.
--- a/src/dandelionmount/process/rate_service.cpp
+++ b/src/dandelionmount/process/rate_service.cpp
@@ -241,9 +241,8 @@
     if (settings == nullptr) {
         return hosts;
     }
-    for (const auto& slot : choose_keepers(account, *settings)) {
-        const auto number = static_cast<std::uint32_t>(std::stoul(slot.substr(slot.rfind('/') + 1)));
-        const auto* member = find_slot(context_.members, zone, number);
+    for (const std::uint32_t slot : keepers_.find(account, *settings)) {
+        const auto* member = find_slot(context_.members, zone, slot);
         if (member != nullptr) {
             hosts.push_back(member->host());
         }
@@ -259,9 +258,8 @@
     if (settings == nullptr || zone == nullptr || !may_use(context_.lease, now)) {
         return nullptr;
     }
-    const auto keepers = choose_keepers(account, *zone);
-    const std::string own_slot = slot_name(self.zone(), self.slot());
-    if (std::find(keepers.begin(), keepers.end(), own_slot) == keepers.end()) {
+    const auto& keepers = keepers_.find(account, *zone);
+    if (std::find(keepers.begin(), keepers.end(), self.slot()) == keepers.end()) {
         return nullptr;
     }
     const double part = keeper_part(*zone, context_.configuration.zones());
--- a/src/dandelionmount/process/rate_service.h
+++ b/src/dandelionmount/process/rate_service.h
@@ -5,6 +5,7 @@
 #include "dandelionmount/connection/frame_stream.h"
 #include "dandelionmount/connection/peer_handshake.h"
 #include "dandelionmount/process/configuration_store.h"
+#include "dandelionmount/process/keeper_cache.h"
 #include "dandelionmount/process/membership.h"
 #include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/peer_directory.h"
@@ -82,6 +83,7 @@
     rate_service_context context_;
     std::map<std::string, std::unique_ptr<account_demand>> demands_;
     std::map<std::string, kept_share> shares_;
+    keeper_cache keepers_;
     std::uint64_t next_grant_;
 };
 
--- a/src/dandelionmount/process/token_share.cpp
+++ b/src/dandelionmount/process/token_share.cpp
@@ -176,12 +176,21 @@
     std::erase_if(wallet.lots, [](const token_lot& lot) { return lot.amount <= 0; });
 }
 
-std::vector<std::string> choose_keepers(std::string_view account, const zone_settings& zone) {
-    std::vector<std::string> slots;
+std::vector<std::uint32_t> choose_keepers(std::string_view account, const zone_settings& zone) {
+    const std::string key = "keeper:" + std::string(account);
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> weighted;
+    weighted.reserve(zone.hosts);
     for (std::uint32_t slot = 0; slot < zone.hosts; ++slot) {
-        slots.push_back(slot_name(zone.name, slot));
+        weighted.emplace_back(rendezvous_weight(key, slot_name(zone.name, slot)), slot);
     }
-    return rendezvous_choose("keeper:" + std::string(account), std::move(slots), keepers_of_zone);
+    const std::size_t kept = std::min<std::size_t>(keepers_of_zone, weighted.size());
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept), weighted.end(),
+                      std::greater<>());
+    std::vector<std::uint32_t> slots;
+    for (std::size_t index = 0; index < kept; ++index) {
+        slots.push_back(weighted[index].second);
+    }
+    return slots;
 }
 
 double keeper_part(const zone_settings& zone, std::span<const zone_settings> zones) {
--- a/src/dandelionmount/process/token_share.h
+++ b/src/dandelionmount/process/token_share.h
@@ -95,8 +95,8 @@
 /// Gives tokens that lie unused back to their keepers with the next report.
 void return_idle(token_wallet& wallet, steady_time now);
 
-/// Slots of a zone that keep shares of an account, best first.
-[[nodiscard]] std::vector<std::string> choose_keepers(std::string_view account, const zone_settings& zone);
+/// Numbers of the slots of a zone that keep shares of an account, best first. Hashes every slot of the zone.
+[[nodiscard]] std::vector<std::uint32_t> choose_keepers(std::string_view account, const zone_settings& zone);
 /// The part of an account's rate and burst that one keeper slot of the zone has; 0 to 1.
 [[nodiscard]] double keeper_part(const zone_settings& zone, std::span<const zone_settings> zones);
 
--- /dev/null
+++ b/tests/process/keeper_cache_test.cpp
@@ -0,0 +1,35 @@
+#include "dandelionmount/process/keeper_cache.h"
+
+#include "dandelionmount/process/token_share.h"
+
+#include <doctest/doctest.h>
+
+namespace dm = dandelionmount;
+
+TEST_SUITE_BEGIN("process");
+
+TEST_CASE("Remembered keepers are those that are chosen, also when a zone grows") {
+    dm::keeper_cache cache;
+    for (const std::uint32_t hosts : {2U, 40U, 41U, 7U}) {
+        for (const std::string account : {"a", "b", "c"}) {
+            for (const std::string name : {"zone-a", "zone-b"}) {
+                const dm::zone_settings zone{name, hosts};
+                const auto chosen = dm::choose_keepers(account, zone);
+                CHECK(cache.find(account, zone) == chosen);
+                CHECK(cache.find(account, zone) == chosen);
+            }
+        }
+    }
+    CHECK(cache.size() == 3);
+}
+
+TEST_CASE("Keepers of any number of accounts take bounded memory") {
+    dm::keeper_cache cache;
+    const dm::zone_settings zone{"zone-a", 5};
+    for (int account = 0; account < 5000; ++account) {
+        (void)cache.find(std::to_string(account), zone);
+    }
+    CHECK(cache.size() <= 1000);
+}
+
+TEST_SUITE_END();
--- a/tests/support/token_fleet.cpp
+++ b/tests/support/token_fleet.cpp
@@ -22,7 +22,6 @@
 
 token_fleet::token_fleet(const token_run& run) : run_(run), random_(run.seed), ideal_(run.rate, run.burst) {
     std::uniform_real_distribution<double> speed(1 - run.drift, 1 + run.drift);
-    const dm::zone_settings usual{"", run.hosts_of_zone};
     std::vector<dm::zone_settings> zones;
     for (std::uint32_t zone = 0; zone < run.zones; ++zone) {
         zones.push_back({std::string(1, static_cast<char>('a' + zone)), run.hosts_of_zone});
@@ -34,7 +33,7 @@
             one.name = dm::slot_name(zone.name, slot);
             one.zone = static_cast<std::uint32_t>(zone.name[0] - 'a');
             one.speed = speed(random_);
-            one.keeper = std::find(keepers.begin(), keepers.end(), one.name) != keepers.end();
+            one.keeper = std::find(keepers.begin(), keepers.end(), slot) != keepers.end();
             hosts_.push_back(std::move(one));
         }
     }
