Keep rates and idempotency keys whole while the list of zones changes, and find tokens that are there

Cause, found on reading: slots that keep shares of a rate and records of idempotency keys follow from the list of zones, hosts take up a change of it at different times, and nothing joined the two lists. Traces of each ask showed two causes: a fetch judged that the keepers were empty by the wallet, which requests had spent meanwhile; and shares not used so far started empty. A key needs more than half of its owners by each list that may count; a slot's part of a rate is the least by all lists hosts may go by, moved shares start empty, those that stay go on. Also: accounts, services and routes are looked up by binary search, in a file of their own.

--- a/src/dandelionmount/process/claim_service.cpp
+++ b/src/dandelionmount/process/claim_service.cpp
@@ -2,6 +2,7 @@
 
 #include "dandelionmount/process/crypto.h"
 #include "dandelionmount/process/logging.h"
+#include "dandelionmount/process/token_share.h"
 #include "dandelionmount/version/configuration_state.h"
 
 #include <algorithm>
@@ -27,6 +28,14 @@
     return static_cast<std::uint32_t>(std::stoul(std::string(slot.substr(slot.rfind('/') + 1))));
 }
 
+std::set<std::string> all_owners(std::span<const owner_group> groups) {
+    std::set<std::string> owners;
+    for (const auto& group : groups) {
+        owners.insert(group.begin(), group.end());
+    }
+    return owners;
+}
+
 wire::forward_reply kept_answer(const wire::forward_reply& outcome) {
     wire::forward_reply kept = outcome;
     if (kept.body().size() > most_kept_answer) {
@@ -40,9 +49,26 @@
 
 } // namespace
 
+bool is_majority_of_all(std::span<const owner_group> groups, const std::set<std::string>& slots) {
+    return std::all_of(groups.begin(), groups.end(), [&slots](const owner_group& group) {
+        const auto granted =
+            std::count_if(group.begin(), group.end(), [&](const auto& slot) { return slots.contains(slot); });
+        return 2 * static_cast<std::size_t>(granted) > group.size();
+    });
+}
+
 claim_service::claim_service(claim_service_context context)
     : context_(std::move(context)), started_(context_.time.now()), next_call_(random_number()) {}
 
+std::vector<owner_group> claim_service::owner_groups(const claim_name& name) const {
+    const auto term = context_.configuration.current().fleet.idempotency_window + zone_change_term;
+    std::vector<owner_group> groups;
+    for (const auto& zones : context_.configuration.zones_within(term)) {
+        groups.push_back(choose_claim_owners(name, zones));
+    }
+    return groups;
+}
+
 std::optional<std::string> claim_service::host_of(const std::string& slot) const {
     const std::string zone = slot.substr(0, slot.rfind('/'));
     const auto* member = find_slot(context_.members, zone, slot_number(slot));
@@ -58,18 +84,17 @@
     ask.set_account(name.account);
     ask.set_key(name.key);
     ask.set_fingerprint(fingerprint);
-    const auto owners = choose_claim_owners(name, context_.configuration.zones());
     for (int round = 1;; ++round) {
         // Each round claims under a name of its own, so that a late release of an earlier round takes nothing
         // away.
         const std::string holder = request_id + "#" + std::to_string(round);
         ask.set_request_id(holder);
-        const tally seen = co_await ask_owners(ask, owners);
-        const bool majority = 2 * seen.granted > owners.size();
-        if (majority && !seen.answer && !seen.running) {
+        const auto groups = owner_groups(name);
+        const tally seen = co_await ask_owners(ask, all_owners(groups));
+        if (is_majority_of_all(groups, seen.granted) && !seen.answer && !seen.running) {
             co_return claim_result{true, holder, std::nullopt, reason::none};
         }
-        if (seen.granted > 0) {
+        if (!seen.granted.empty()) {
             release(name, holder);
         }
         if (seen.mismatch) {
@@ -89,17 +114,18 @@
 }
 
 asio::awaitable<claim_service::tally> claim_service::ask_owners(wire::claim_request ask,
-                                                                std::vector<std::string> owners) {
+                                                                std::set<std::string> owners) {
     auto seen = std::make_shared<tally>();
     auto all_answered = std::make_shared<async_event>(context_.executor);
     auto open = std::make_shared<std::size_t>(owners.size());
     for (const auto& slot : owners) {
         asio::co_spawn(context_.executor, ask_owner(ask, slot),
-                       [seen, all_answered, open](const std::exception_ptr&,
-                                                  const std::optional<wire::claim_reply>& reply) {
+                       [seen, all_answered, open, slot](const std::exception_ptr&,
+                                                        const std::optional<wire::claim_reply>& reply) {
                            if (reply) {
-                               ++seen->answered;
-                               seen->granted += reply->state() == wire::claim_granted ? 1 : 0;
+                               if (reply->state() == wire::claim_granted) {
+                                   seen->granted.insert(slot);
+                               }
                                seen->running |= reply->state() == wire::claim_running;
                                seen->mismatch |= reply->state() == wire::claim_mismatch;
                                if (reply->state() == wire::claim_finished) {
@@ -148,7 +174,7 @@
     finish.set_request_id(holder);
     finish.set_released(outcome.outcome() == wire::not_run);
     *finish.mutable_answer() = kept_answer(outcome);
-    for (const auto& slot : choose_claim_owners(name, context_.configuration.zones())) {
+    for (const auto& slot : all_owners(owner_groups(name))) {
         send_finish(finish, slot);
     }
 }
@@ -212,8 +238,7 @@
     reply->set_call(ask.call());
     reply->set_complete(store_.complete);
     for (const auto& [name, entry] : store_.entries) {
-        const auto owners = choose_claim_owners(name, context_.configuration.zones());
-        if (std::find(owners.begin(), owners.end(), slot) == owners.end()) {
+        if (!all_owners(owner_groups(name)).contains(slot)) {
             continue;
         }
         auto* record = reply->add_records();
--- a/src/dandelionmount/process/claim_service.h
+++ b/src/dandelionmount/process/claim_service.h
@@ -11,7 +11,10 @@
 
 #include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace dandelionmount {
 
@@ -33,11 +36,20 @@
     reason why{reason::none};
 };
 
+/// The slots that own a key by one list of zones.
+using owner_group = std::vector<std::string>;
+
+/// Whether more than half of each group is among the slots.
+[[nodiscard]] bool is_majority_of_all(std::span<const owner_group> groups,
+                                      const std::set<std::string>& slots);
+
 /// Lets one request run for each idempotency key, at whichever host its repeats arrive.
 ///
-/// A key is recorded at a few host slots in different zones, and a request runs only when more than half of
-/// them have granted it the key. A process that is new in its slot grants no key before it has copied the
-/// records of its predecessor from all other hosts, or the window has passed in which records matter.
+/// A key is recorded at a few host slots in different zones, its owners, and a request runs only when more
+/// than half of them have granted it the key. After a change of the zones that holds for the owners by the
+/// zones before, too, until their records have expired: so there is never a moment at which two requests can
+/// win. A process that is new in its slot grants no key before it has copied the records of its predecessor
+/// from all other hosts, or the window has passed in which records matter.
 class claim_service {
 public:
     explicit claim_service(claim_service_context context);
@@ -59,18 +71,21 @@
 
 private:
     struct tally {
-        std::size_t granted{0};
-        std::size_t answered{0};
+        /// Slots that granted the key.
+        std::set<std::string> granted;
         bool running{false};
         bool mismatch{false};
         std::optional<wire::forward_reply> answer;
     };
-    boost::asio::awaitable<tally> ask_owners(wire::claim_request ask, std::vector<std::string> owners);
+    boost::asio::awaitable<tally> ask_owners(wire::claim_request ask, std::set<std::string> owners);
     boost::asio::awaitable<std::optional<wire::claim_reply>> ask_owner(wire::claim_request ask,
                                                                        std::string slot);
     boost::asio::awaitable<bool> copy_from(std::string host);
     void send_finish(const wire::claim_finish& finish, const std::string& slot);
     void release(const claim_name& name, const std::string& holder);
+    /// The owners of a key by each list of zones that may matter: those in force, and those replaced so
+    /// lately that their owners' records still count.
+    [[nodiscard]] std::vector<owner_group> owner_groups(const claim_name& name) const;
     [[nodiscard]] std::optional<std::string> host_of(const std::string& slot) const;
 
     claim_service_context context_;
--- a/src/dandelionmount/process/configuration_store.cpp
+++ b/src/dandelionmount/process/configuration_store.cpp
@@ -19,6 +19,33 @@
                                          : std::span<const zone_settings>(state_.document.zones);
 }
 
+std::vector<std::span<const zone_settings>> configuration_store::zones_within(duration term) const {
+    std::vector<std::span<const zone_settings>> lists{zones()};
+    std::uint64_t number = state_.zone_changes - state_.earlier_zones.size();
+    for (const auto& earlier : state_.earlier_zones) {
+        const auto learnt = zone_changes_.find(number++);
+        if (learnt != zone_changes_.end() && time_.now() - learnt->second < term) {
+            lists.emplace_back(earlier.empty() ? zones_ : earlier);
+        }
+    }
+    return lists;
+}
+
+std::optional<steady_time> configuration_store::zones_changed() const {
+    if (zone_changes_.empty()) {
+        return std::nullopt;
+    }
+    return zone_changes_.rbegin()->second;
+}
+
+void configuration_store::note_zone_changes() {
+    const std::uint64_t first = state_.zone_changes - state_.earlier_zones.size();
+    zone_changes_.erase(zone_changes_.begin(), zone_changes_.lower_bound(first));
+    for (std::uint64_t number = first; number < state_.zone_changes; ++number) {
+        zone_changes_.try_emplace(number, time_.now());
+    }
+}
+
 const zone_settings* configuration_store::find_zone(std::string_view name) const {
     for (const auto& zone : zones()) {
         if (zone.name == name) {
@@ -39,6 +66,7 @@
     recent_records_.clear();
     std::erase_if(pending_, [this](const std::string& id) { return state_.withdrawn.contains(id); });
     index_keys();
+    note_zone_changes();
     for (const auto& action : actions_) {
         action();
     }
--- a/src/dandelionmount/process/configuration_store.h
+++ b/src/dandelionmount/process/configuration_store.h
@@ -34,6 +34,11 @@
     /// Whether there is a configuration to serve by.
     [[nodiscard]] bool is_ready() const { return state_.document_version > 0; }
     [[nodiscard]] std::span<const zone_settings> zones() const;
+    /// The zones in force, and before them in time those that this process learnt to be replaced within
+    /// `term`: other hosts may still go by them.
+    [[nodiscard]] std::vector<std::span<const zone_settings>> zones_within(duration term) const;
+    /// When this process last learnt of a change of the zones; nothing when there was none.
+    [[nodiscard]] std::optional<steady_time> zones_changed() const;
     [[nodiscard]] const zone_settings* find_zone(std::string_view name) const;
 
     /// Puts a later state in force; an earlier or equal one is left alone.
@@ -59,6 +64,7 @@
 
 private:
     void index_keys();
+    void note_zone_changes();
 
     std::vector<zone_settings> zones_;
     const time_source& time_;
@@ -68,6 +74,8 @@
     std::vector<std::function<void()>> actions_;
     /// The records just before the state's next offset.
     std::deque<std::string> recent_records_;
+    /// When this process learnt of each change of the zones, by its number.
+    std::map<std::uint64_t, steady_time> zone_changes_;
     steady_time last_contact_;
 };
 
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -89,6 +89,7 @@
     gossip_.on_member_change([this] { peers_.forget_gone(); });
     configuration_.on_change([this] {
         choose_own_witnesses();
+        rates_.note_configuration();
         gossip_.spread_soon();
     });
     choose_own_witnesses();
--- a/src/dandelionmount/process/rate_service.cpp
+++ b/src/dandelionmount/process/rate_service.cpp
@@ -24,6 +24,8 @@
 constexpr duration least_empty_time = std::chrono::milliseconds(5);
 constexpr duration most_empty_time = std::chrono::milliseconds(100);
 constexpr double whole_token = 1.0;
+// Tolerance for sums of fractions of tokens.
+constexpr double rounding = 1e-6;
 // Times that a fetch asks groups of keepers, one after another.
 constexpr int most_passes = 4;
 
@@ -101,6 +103,7 @@
         return;
     }
     demand.fetching = true;
+    demand.gained = 0;
     demand.fetched.reset();
     asio::co_spawn(context_.executor, fetch(account), asio::detached);
 }
@@ -122,9 +125,12 @@
     const double expected = std::max(needed(), demand.rate * horizon_seconds);
     co_await ask_hosts(account, near, expected - wallet_tokens(demand.wallet, now()), true);
     co_await ask_hosts(account, far, needed() - wallet_tokens(demand.wallet, now()), true);
-    co_await ask_hosts(account, near, needed() - wallet_tokens(demand.wallet, now()), false);
-    co_await ask_hosts(account, far, needed() - wallet_tokens(demand.wallet, now()), false);
-    if (wallet_tokens(demand.wallet, now()) < whole_token) {
+    const bool near_short =
+        co_await ask_hosts(account, near, needed() - wallet_tokens(demand.wallet, now()), false);
+    const bool far_short =
+        co_await ask_hosts(account, far, needed() - wallet_tokens(demand.wallet, now()), false);
+    // The wallet says nothing about the keepers, as requests may have spent meanwhile what came.
+    if (near_short && far_short) {
         const auto* settings = find_account(context_.configuration.current(), account);
         const double rate = settings == nullptr ? 1 : settings->rate;
         demand.empty_until =
@@ -134,12 +140,14 @@
     demand.fetched.set();
 }
 
-// Asks each host for its part of the missing tokens, or for all of them.
-asio::awaitable<void> rate_service::ask_hosts(std::string account, std::vector<std::string> hosts,
+// Asks each host for its part of the missing tokens, or for all of them; true when they had too few.
+asio::awaitable<bool> rate_service::ask_hosts(std::string account, std::vector<std::string> hosts,
                                               double missing, bool in_parts) {
     if (hosts.empty() || missing <= 0) {
-        co_return;
+        co_return missing > 0;
     }
+    account_demand& demand = demand_of(account);
+    const double gained_before = demand.gained;
     auto all_answered = std::make_shared<async_event>(context_.executor);
     auto open = std::make_shared<std::size_t>(hosts.size());
     const double wanted = in_parts ? missing / static_cast<double>(hosts.size()) : missing;
@@ -152,6 +160,7 @@
                        });
     }
     co_await all_answered->wait_until(context_.time.now() + ask_limit);
+    co_return demand.gained - gained_before < missing - rounding;
 }
 
 asio::awaitable<void> rate_service::ask_keeper(std::string account, std::string host, double wanted) {
@@ -169,10 +178,16 @@
     const auto reply = co_await link->call(make_request(account, host, wanted, grant_id), token_key(grant_id),
                                            asked + ask_limit);
     if (reply) {
-        add_lot(demand_of(account).wallet, host, reply->token_reply().granted(), asked);
+        take_grant(demand_of(account), host, reply->token_reply().granted(), asked);
     }
 }
 
+void rate_service::take_grant(account_demand& demand, std::string_view host, double amount,
+                              steady_time asked) {
+    demand.gained += amount;
+    add_lot(demand.wallet, host, amount, asked);
+}
+
 void rate_service::ask_self(const std::string& account, double wanted, std::uint64_t grant_id) {
     kept_share* share = own_share(account);
     if (share == nullptr) {
@@ -183,7 +198,7 @@
     report.unsent = false;
     const auto now = context_.time.now();
     const token_ask ask{host, grant_id, wanted, report.spent, report.returned};
-    add_lot(demand_of(account).wallet, host, grant_tokens(*share, ask, now), now);
+    take_grant(demand_of(account), host, grant_tokens(*share, ask, now), now);
 }
 
 wire::peer_frame rate_service::make_request(const std::string& account, const std::string& host,
@@ -250,28 +265,55 @@
     return hosts;
 }
 
+double rate_service::own_part(const std::string& account) {
+    const auto lists = context_.configuration.zones_within(zone_change_term);
+    return slot_part(account, {context_.members.self.zone(), context_.members.self.slot()}, lists, keepers_);
+}
+
+// Shares that stay here through a change of the zones go on as they are, those not used so far included; any
+// other that is kept here later was kept elsewhere before.
+void rate_service::note_configuration() {
+    std::erase_if(shares_, [this](const auto& entry) { return own_part(entry.first) <= 0; });
+    const auto changed = context_.configuration.zones_changed();
+    if (changed == zones_changed_) {
+        return;
+    }
+    zones_changed_ = changed;
+    for (const auto& account : context_.configuration.current().accounts) {
+        const double part = own_part(account.name);
+        if (part > 0 && context_.lease.proved) {
+            start_share(account, part, *context_.lease.proved);
+        }
+    }
+}
+
+// Nobody used this share while this process waited for it, so it has filled up since `filled_since`.
+kept_share& rate_service::start_share(const account_settings& account, double part,
+                                      steady_time filled_since) {
+    auto [entry, fresh] = shares_.try_emplace(account.name);
+    if (fresh) {
+        entry->second.refilled = filled_since;
+        entry->second.rate = account.rate * part;
+        entry->second.burst = account.burst * part;
+    }
+    return entry->second;
+}
+
 kept_share* rate_service::own_share(const std::string& account) {
     const auto now = context_.time.now();
     const auto* settings = find_account(context_.configuration.current(), account);
-    const auto& self = context_.members.self;
-    const zone_settings* zone = context_.configuration.find_zone(self.zone());
-    if (settings == nullptr || zone == nullptr || !may_use(context_.lease, now)) {
+    if (settings == nullptr || !may_use(context_.lease, now)) {
         return nullptr;
     }
-    const auto& keepers = keepers_.find(account, *zone);
-    if (std::find(keepers.begin(), keepers.end(), self.slot()) == keepers.end()) {
+    const double part = own_part(account);
+    if (part <= 0) {
         return nullptr;
     }
-    const double part = keeper_part(*zone, context_.configuration.zones());
-    auto [entry, fresh] = shares_.try_emplace(account);
-    if (fresh) {
-        // Nobody used this share while this process waited for it, so it has filled up since.
-        entry->second.refilled = context_.lease.proved.value_or(now);
-        entry->second.rate = settings->rate * part;
-        entry->second.burst = settings->burst * part;
-    }
-    set_share(entry->second, settings->rate * part, settings->burst * part, now);
-    return &entry->second;
+    const auto held = context_.lease.proved.value_or(now);
+    kept_share& share =
+        start_share(*settings, part, filled_from(held, context_.configuration.zones_changed(), now));
+    set_share(share, settings->rate * part, settings->burst * part, now);
+    return &share;
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/process/rate_service.h
+++ b/src/dandelionmount/process/rate_service.h
@@ -47,6 +47,8 @@
     void answer(const wire::token_request& ask, const peer_name& from, std::shared_ptr<frame_stream> stream);
     /// When a caller that was refused should come back.
     [[nodiscard]] duration return_time(std::string_view account) const;
+    /// Forgets shares that other slots may keep by the zones in force now; called after each change.
+    void note_configuration();
     /// Reports what was spent and gives back what lies unused; called several times a second.
     void report();
 
@@ -56,6 +58,8 @@
         token_wallet wallet;
         async_event fetched;
         bool fetching{false};
+        /// Tokens that came since the present fetch, or the last one, began.
+        double gained{0};
         double waiting{0};
         /// Requests admitted each second, recent ones weighing most.
         double rate{0};
@@ -70,13 +74,17 @@
     void prefetch(const std::string& account, account_demand& demand);
     void start_fetch(const std::string& account, account_demand& demand);
     boost::asio::awaitable<void> fetch(std::string account);
-    boost::asio::awaitable<void> ask_hosts(std::string account, std::vector<std::string> hosts,
+    boost::asio::awaitable<bool> ask_hosts(std::string account, std::vector<std::string> hosts,
                                            double missing, bool in_parts);
+    static void take_grant(account_demand& demand, std::string_view host, double amount, steady_time asked);
     void ask_self(const std::string& account, double wanted, std::uint64_t grant_id);
     boost::asio::awaitable<void> ask_keeper(std::string account, std::string host, double wanted);
     [[nodiscard]] wire::peer_frame make_request(const std::string& account, const std::string& host,
                                                 double wanted, std::uint64_t grant_id);
     [[nodiscard]] std::vector<std::string> keeper_hosts(std::string_view account, std::string_view zone);
+    kept_share& start_share(const account_settings& account, double part, steady_time filled_since);
+    /// The part of the account's rate that this host's slot has.
+    [[nodiscard]] double own_part(const std::string& account);
     /// The share of the account that this host's slot keeps; nullptr when it keeps none or must not use it.
     [[nodiscard]] kept_share* own_share(const std::string& account);
 
@@ -84,6 +92,8 @@
     std::map<std::string, std::unique_ptr<account_demand>> demands_;
     std::map<std::string, kept_share> shares_;
     keeper_cache keepers_;
+    /// The last change of the zones that has been taken in.
+    std::optional<steady_time> zones_changed_;
     std::uint64_t next_grant_;
 };
 
--- a/src/dandelionmount/process/token_share.cpp
+++ b/src/dandelionmount/process/token_share.cpp
@@ -1,5 +1,6 @@
 #include "dandelionmount/process/token_share.h"
 
+#include "dandelionmount/process/keeper_cache.h"
 #include "dandelionmount/process/result.h"
 #include "dandelionmount/process/rendezvous.h"
 #include "dandelionmount/process/slot_lease.h"
@@ -205,4 +206,29 @@
     return zone.hosts / hosts / keepers;
 }
 
+double slot_part(std::string_view account, const slot_place& place,
+                 std::span<const std::span<const zone_settings>> lists, keeper_cache& cache) {
+    double least = 1;
+    for (const auto& zones : lists) {
+        const auto same = [&place](const zone_settings& zone) { return zone.name == place.zone; };
+        const auto zone = std::find_if(zones.begin(), zones.end(), same);
+        if (zone == zones.end()) {
+            return 0;
+        }
+        const auto& keepers = cache.find(account, *zone);
+        if (std::find(keepers.begin(), keepers.end(), place.slot) == keepers.end()) {
+            return 0;
+        }
+        least = std::min(least, keeper_part(*zone, zones));
+    }
+    return least;
+}
+
+steady_time filled_from(steady_time slot_held, std::optional<steady_time> zones_changed, steady_time now) {
+    if (!zones_changed) {
+        return slot_held;
+    }
+    return std::min(now, std::max(slot_held, *zones_changed + zone_change_term));
+}
+
 } // namespace dandelionmount
--- a/src/dandelionmount/process/token_share.h
+++ b/src/dandelionmount/process/token_share.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -100,6 +101,26 @@
 /// The part of an account's rate and burst that one keeper slot of the zone has; 0 to 1.
 [[nodiscard]] double keeper_part(const zone_settings& zone, std::span<const zone_settings> zones);
 
+/// A host slot.
+struct slot_place {
+    std::string_view zone;
+    std::uint32_t slot{0};
+};
+
+class keeper_cache;
+
+/// How long hosts may go by different lists of zones: a change is in force everywhere within this time.
+constexpr duration zone_change_term = std::chrono::seconds(6);
+
+/// The part that a slot has of an account's rate and burst, 0 when it keeps none: the least by all lists of
+/// zones that hosts may still go by, so that the parts of all slots never add up to more than 1.
+[[nodiscard]] double slot_part(std::string_view account, const slot_place& place,
+                               std::span<const std::span<const zone_settings>> lists, keeper_cache& cache);
+/// From when on a share that this process did not keep before has filled up: since it holds its slot, but not
+/// since before a change of the zones was in force everywhere.
+[[nodiscard]] steady_time filled_from(steady_time slot_held, std::optional<steady_time> zones_changed,
+                                      steady_time now);
+
 } // namespace dandelionmount
 
 #endif
--- a/src/dandelionmount/version/configuration.cpp
+++ b/src/dandelionmount/version/configuration.cpp
@@ -359,11 +359,24 @@
     }
     for (const auto& entry : part.routes) {
         config.routes.push_back(complete_route(entry, errors));
+        config.longest_prefix = std::max(config.longest_prefix, entry.name.size());
     }
     check_references(config, part, errors);
     return config;
 }
 
+template <typename Entry>
+void sort_by_name(std::vector<Entry>& entries) {
+    std::sort(entries.begin(), entries.end(),
+              [](const Entry& left, const Entry& right) { return left.name < right.name; });
+}
+
+void sort_entries(partial_configuration& part) {
+    sort_by_name(part.accounts);
+    sort_by_name(part.services);
+    sort_by_name(part.routes);
+}
+
 toml::array to_array(const std::vector<std::string>& texts) {
     toml::array array;
     for (const auto& text : texts) {
@@ -414,6 +427,7 @@
     if (!outcome.errors.empty()) {
         return outcome;
     }
+    sort_entries(part);
     configuration config = complete(part, outcome.errors);
     if (outcome.errors.empty()) {
         outcome.value = std::move(config);
@@ -443,40 +457,6 @@
     return text.str();
 }
 
-const account_settings* find_account(const configuration& config, std::string_view name) {
-    for (const auto& account : config.accounts) {
-        if (account.name == name) {
-            return &account;
-        }
-    }
-    return nullptr;
-}
-
-const service_settings* find_service(const configuration& config, std::string_view name) {
-    for (const auto& service : config.services) {
-        if (service.name == name) {
-            return &service;
-        }
-    }
-    return nullptr;
-}
-
-const route_settings* find_route(const configuration& config, std::string_view path) {
-    const std::string_view plain = path.substr(0, path.find('?'));
-    const route_settings* best = nullptr;
-    for (const auto& route : config.routes) {
-        if (!plain.starts_with(route.prefix)) {
-            continue;
-        }
-        const bool whole_segment = plain.size() == route.prefix.size() || route.prefix.back() == '/' ||
-                                   plain[route.prefix.size()] == '/';
-        if (whole_segment && (best == nullptr || route.prefix.size() > best->prefix.size())) {
-            best = &route;
-        }
-    }
-    return best;
-}
-
 std::string key_id_of(std::string_view key_hash) {
     return std::string(key_hash.substr(0, key_id_digits));
 }
--- a/src/dandelionmount/version/configuration.h
+++ b/src/dandelionmount/version/configuration.h
@@ -53,6 +53,8 @@
 struct zone_settings {
     std::string name;
     std::uint32_t hosts{0};
+
+    bool operator==(const zone_settings&) const = default;
 };
 
 /// Times that hold for the whole fleet.
@@ -65,13 +67,15 @@
     std::chrono::seconds idempotency_window{300};
 };
 
-/// One whole, valid configuration.
+/// One whole, valid configuration. Accounts, services and routes are sorted by name or prefix.
 struct configuration {
     fleet_settings fleet;
     std::vector<zone_settings> zones;
     std::vector<account_settings> accounts;
     std::vector<service_settings> services;
     std::vector<route_settings> routes;
+    /// Bytes of the longest route prefix.
+    std::size_t longest_prefix{0};
 };
 
 /// A named file's text.
--- a/src/dandelionmount/version/configuration_state.cpp
+++ b/src/dandelionmount/version/configuration_state.cpp
@@ -13,6 +13,8 @@
 
 // Enough for an operator's tool to find its change minutes later at the daily rate of changes.
 constexpr std::size_t most_recent_changes = 256;
+// Changes of the zones within one idempotency window; more are not expected.
+constexpr std::size_t most_earlier_zones = 8;
 constexpr std::size_t key_hash_digits = 64;
 
 std::string text_of(const json& record, const char* key) {
@@ -41,6 +43,14 @@
     }
 }
 
+void remember_zones(configuration_state& state) {
+    state.earlier_zones.push_back(state.document.zones);
+    ++state.zone_changes;
+    if (state.earlier_zones.size() > most_earlier_zones) {
+        state.earlier_zones.pop_front();
+    }
+}
+
 change_outcome apply_document(configuration_state& state, const json& record) {
     const auto from_version = record.find("from_version");
     const auto document = record.find("document");
@@ -56,6 +66,9 @@
     if (!read.value) {
         return change_outcome::invalid;
     }
+    if (state.document_version > 0 && read.value->zones != state.document.zones) {
+        remember_zones(state);
+    }
     state.document = std::move(*read.value);
     state.document_text = std::move(text);
     state.document_version = state.next_offset + 1;
@@ -134,6 +147,18 @@
     return changes;
 }
 
+json earlier_zones_json(const configuration_state& state) {
+    json lists = json::array();
+    for (const auto& zones : state.earlier_zones) {
+        json list = json::array();
+        for (const auto& zone : zones) {
+            list.push_back({{"name", zone.name}, {"hosts", zone.hosts}});
+        }
+        lists.push_back(std::move(list));
+    }
+    return lists;
+}
+
 // Everything but where the newest snapshot lies, which is no part of what the records say.
 json state_json(const configuration_state& state) {
     return {{"next_offset", state.next_offset},
@@ -143,7 +168,21 @@
             {"keys", keys_json(state)},
             {"withdrawn", state.withdrawn},
             {"holders", holders_json(state)},
-            {"changes", changes_json(state)}};
+            {"changes", changes_json(state)},
+            {"zone_changes", state.zone_changes},
+            {"earlier_zones", earlier_zones_json(state)}};
+}
+
+// Snapshots of earlier versions of the program have no such lists.
+void read_earlier_zones(const json& source, configuration_state& state) {
+    state.zone_changes = number_of(source, "zone_changes");
+    for (const auto& list : source.value("earlier_zones", json::array())) {
+        std::vector<zone_settings> zones;
+        for (const auto& zone : list) {
+            zones.push_back({text_of(zone, "name"), static_cast<std::uint32_t>(number_of(zone, "hosts"))});
+        }
+        state.earlier_zones.push_back(std::move(zones));
+    }
 }
 
 void read_lists(const json& source, configuration_state& state) {
@@ -162,6 +201,7 @@
                                         static_cast<change_outcome>(change.at("outcome").get<int>()),
                                         number_of(change, "version")});
     }
+    read_earlier_zones(source, state);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/process/zone_change_test.cpp
@@ -0,0 +1,224 @@
+#include "dandelionmount/process/claim_service.h"
+#include "dandelionmount/process/configuration_store.h"
+#include "dandelionmount/process/keeper_cache.h"
+#include "dandelionmount/process/token_share.h"
+
+#include "tests/support/seed.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+namespace dm = dandelionmount;
+namespace wire = dandelionmount::wire;
+
+namespace {
+
+using zone_list = std::vector<dm::zone_settings>;
+using milliseconds = std::chrono::milliseconds;
+
+constexpr std::uint32_t most_hosts = 6;
+constexpr double rounding = 1e-9;
+
+std::string document(const zone_list& zones) {
+    std::string text;
+    for (const auto& zone : zones) {
+        text += "[[zone]]\nname = \"" + zone.name + "\"\nhosts = " + std::to_string(zone.hosts) + "\n";
+    }
+    return text;
+}
+
+zone_list draw_zones(std::mt19937_64& random) {
+    std::uniform_int_distribution<std::uint32_t> hosts(1, most_hosts);
+    zone_list zones{{"a", hosts(random)}, {"b", hosts(random)}, {"c", hosts(random)}};
+    if (random() % 2 == 0) {
+        zones.push_back({"d", hosts(random)});
+    }
+    return zones;
+}
+
+// One host slot with a configuration of its own, as far as the log has reached it.
+struct slot_view {
+    dm::slot_place place;
+    dm::configuration_store store;
+    dm::keeper_cache cache;
+
+    double part(std::string_view account, dm::duration term) {
+        return dm::slot_part(account, place, store.zones_within(term), cache);
+    }
+};
+
+// A log of documents that differ in their zones, and all slots that any of them names.
+class changing_fleet {
+public:
+    explicit changing_fleet(std::uint64_t seed) : random_(seed) {
+        for (const std::string_view zone : {"a", "b", "c", "d"}) {
+            for (std::uint32_t slot = 0; slot < most_hosts; ++slot) {
+                auto view = std::make_unique<slot_view>(
+                    slot_view{{zone, slot}, dm::configuration_store({}, time_), {}});
+                views_.push_back(std::move(view));
+            }
+        }
+        append();
+        deliver_to_all();
+        time_.advance(std::chrono::minutes(1));
+    }
+
+    void append() {
+        log_.push_back(dm::make_document_record(std::to_string(log_.size()), log_.size(),
+                                                document(draw_zones(random_))));
+    }
+
+    // Each slot hears of the log's end at a moment of its own within the term; returns the largest sum of
+    // parts.
+    double largest_sum(dm::duration term) {
+        constexpr milliseconds step(100);
+        const auto began = time_.now();
+        std::vector<dm::steady_time> hears;
+        std::uniform_int_distribution<int> delay(0, 59);
+        for (std::size_t index = 0; index < views_.size(); ++index) {
+            hears.push_back(began + delay(random_) * step);
+        }
+        double largest = 0;
+        while (time_.now() < began + std::chrono::seconds(14)) {
+            for (std::size_t index = 0; index < views_.size(); ++index) {
+                if (time_.now() >= hears[index]) {
+                    views_[index]->store.apply_records(0, log_);
+                }
+            }
+            double sum = 0;
+            for (const auto& view : views_) {
+                sum += view->part("kiosk", term);
+            }
+            largest = std::max(largest, sum);
+            time_.advance(step);
+        }
+        return largest;
+    }
+
+private:
+    void deliver_to_all() {
+        for (const auto& view : views_) {
+            view->store.apply_records(0, log_);
+        }
+    }
+
+    std::mt19937_64 random_;
+    dm::manual_time_source time_;
+    std::vector<std::string> log_;
+    std::vector<std::unique_ptr<slot_view>> views_;
+};
+
+wire::claim_request make_claim(const std::string& request_id) {
+    wire::claim_request ask;
+    ask.set_account("kiosk");
+    ask.set_key("note-17");
+    ask.set_fingerprint("f");
+    ask.set_request_id(request_id);
+    return ask;
+}
+
+// Requests that claim one key while hosts take up a change of the zones; returns how many may run.
+int count_holders(std::uint64_t seed, bool asks_earlier_owners) {
+    std::mt19937_64 random(seed);
+    const dm::steady_time now{std::chrono::hours(1)};
+    const dm::claim_name name{"kiosk", "note-17"};
+    const auto before = dm::choose_claim_owners(name, draw_zones(random));
+    const auto after = dm::choose_claim_owners(name, draw_zones(random));
+    std::map<std::string, dm::claim_store> stores;
+    int holders = 0;
+    for (int claimant = 0; claimant < 20; ++claimant) {
+        const bool knows_change = random() % 2 == 0;
+        std::vector<dm::owner_group> groups{knows_change ? after : before};
+        if (knows_change && asks_earlier_owners) {
+            groups.push_back(before);
+        }
+        std::set<std::string> granted;
+        for (const auto& group : groups) {
+            for (const auto& slot : group) {
+                stores[slot].complete = true;
+                const bool lost = random() % 10 == 0;
+                const auto ask = make_claim(std::to_string(claimant));
+                const auto reply = dm::answer_claim(stores[slot], ask, now);
+                if (!lost && reply.state() == wire::claim_granted) {
+                    granted.insert(slot);
+                }
+            }
+        }
+        holders += dm::is_majority_of_all(groups, granted) ? 1 : 0;
+    }
+    return holders;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("process");
+
+TEST_CASE(
+    "Parts of an account's rate never add up to more than all while hosts take up changes of the zones") {
+    const auto range = tests::seeds(30);
+    for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed) {
+        CAPTURE(seed);
+        changing_fleet fleet(seed);
+        for (int change = 0; change < 4; ++change) {
+            fleet.append();
+            CHECK(fleet.largest_sum(dm::zone_change_term) <= 1 + rounding);
+        }
+    }
+}
+
+TEST_CASE("Without regard to the zones before, parts would add up to more than all") {
+    double largest = 0;
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        changing_fleet fleet(seed);
+        fleet.append();
+        largest = std::max(largest, fleet.largest_sum(dm::duration{0}));
+    }
+    CHECK(largest > 1.2);
+}
+
+TEST_CASE("A share that a change of the zones brought starts without the tokens that others spent") {
+    const dm::steady_time now{std::chrono::hours(1)};
+    const auto held = now - std::chrono::minutes(10);
+    CHECK(dm::filled_from(held, std::nullopt, now) == held);
+    CHECK(dm::filled_from(held, now - std::chrono::seconds(1), now) == now);
+    CHECK(dm::filled_from(held, now - std::chrono::minutes(1), now) ==
+          now - std::chrono::minutes(1) + dm::zone_change_term);
+    CHECK(dm::filled_from(held, now - std::chrono::minutes(20), now) == held);
+}
+
+TEST_CASE("A process that starts after a change of the zones knows those before, also from a snapshot") {
+    dm::configuration_state state;
+    dm::apply_record(state, dm::make_document_record("one", 0, document({{"a", 2}})));
+    dm::apply_record(state, dm::make_document_record("two", state.document_version, document({{"a", 3}})));
+    dm::apply_record(state, dm::make_document_record("three", state.document_version, document({{"a", 3}})));
+    const auto copy = dm::read_snapshot(dm::make_snapshot_record(state));
+    REQUIRE(copy);
+    CHECK(dm::state_fingerprint(copy.value()) == dm::state_fingerprint(state));
+    dm::manual_time_source time;
+    dm::configuration_store store({}, time);
+    store.adopt(copy.value());
+    const auto lists = store.zones_within(std::chrono::seconds(6));
+    REQUIRE(lists.size() == 2);
+    CHECK(lists[0][0].hosts == 3);
+    CHECK(lists[1][0].hosts == 2);
+    time.advance(std::chrono::seconds(7));
+    CHECK(store.zones_within(std::chrono::seconds(6)).size() == 1);
+}
+
+TEST_CASE("One request wins an idempotency key while hosts take up a change of the zones") {
+    const auto range = tests::seeds(500);
+    for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed) {
+        CAPTURE(seed);
+        CHECK(count_holders(seed, true) <= 1);
+    }
+}
+
+TEST_CASE("Without the owners by the zones before, two requests would win one key") {
+    int most = 0;
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        most = std::max(most, count_holders(seed, false));
+    }
+    CHECK(most > 1);
+}
+
+TEST_SUITE_END();
--- a/tests/system/requests_test.py
+++ b/tests/system/requests_test.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import os
 import random
 import signal
 import threading
@@ -44,6 +45,38 @@
                                headers={"Idempotency-Key": "at-once"})
         self.assertEqual((other.status, other.reason), (400, "key_mismatch"))
 
+    def test_repeats_of_an_idempotency_key_run_once_across_changes_of_the_zones_and_replaced_nodes(self):
+        nodes = self.fleet.nodes()
+
+        def pay(node, key):
+            return self.fleet.ask(node, "/front/pay/change", method="POST", body="amount=1",
+                                  headers={"Idempotency-Key": key}, timeout=10)
+
+        keys = [f"change-{number}" for number in range(30)]
+        first = {key: pay(nodes[0], key) for key in keys}
+        with open(os.path.join(fleet.ROOT, "examples/demo/base.toml"), encoding="utf-8") as file:
+            base = file.read()
+        zones = "".join(f'[[zone]]\nname = "zone-{zone}"\nhosts = 1\n' for zone in "abc")
+        self.assertEqual(self.fleet.ctl("apply", self.write(base + zones)).returncode, 0)
+        second = {key: pay(nodes[3], key) for key in keys}
+        # The node that took them is replaced: its successor knows of the change only from the log and its peers.
+        self.fleet.signal(nodes[0], signal.SIGKILL)
+        fleet.wait_until(lambda: not fleet.is_running(nodes[0]["pid"]), 5)
+        self.fleet.restart(nodes[0])
+        fleet.wait_until(lambda: (self.fleet.status(nodes[0]) or {}).get("holds_slot"), 20, "slot")
+        third = {key: pay(nodes[0], key) for key in keys}
+        self.assertEqual(self.fleet.ctl("apply", self.write(base)).returncode, 0)
+        runs = {}
+        for target in self.fleet.targets("front"):
+            report = self.fleet.runs(target)
+            runs["change"] = runs.get("change", 0) + report["paths"].get("/front/pay/change", 0)
+        self.assertLessEqual(runs["change"], len(keys))
+        for key in keys:
+            self.assertEqual(first[key].status, 200)
+            for later in (second[key], third[key]):
+                self.assertEqual((later.status, later.reason), (200, ""))
+                self.assertEqual(later.headers["Dandelion-Request"], first[key].headers["Dandelion-Request"])
+
     def test_requests_stay_whole_and_single_while_targets_cut_their_answers(self):
         for target in self.fleet.targets("front"):
             self.fleet.control(target, cut_share=0.3)
--- a/tests/version/configuration_test.cpp
+++ b/tests/version/configuration_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <random>
+#include <set>
 
 namespace dm = dandelionmount;
 
@@ -114,6 +115,50 @@
     CHECK(dm::render_configuration(*again.value) == rendered);
 }
 
+TEST_CASE("The lookup of a route agrees with a look at every route") {
+    const auto range = tests::seeds(20);
+    for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        std::uniform_int_distribution<int> segments(1, 4);
+        std::uniform_int_distribution<int> letter(0, 2);
+        const auto make_path = [&] {
+            std::string path;
+            for (int count = segments(random); count > 0; --count) {
+                path += std::string("/") + static_cast<char>('a' + letter(random));
+            }
+            return letter(random) == 0 ? path + "/" : path;
+        };
+        std::set<std::string> prefixes;
+        std::string text = "[[zone]]\nname = \"a\"\nhosts = 2\n[[service]]\nname = \"s\"\n";
+        for (int route = 0; route < 30; ++route) {
+            const std::string prefix = make_path();
+            if (prefixes.insert(prefix).second) {
+                text += "[[route]]\nprefix = \"" + prefix + "\"\nservice = \"s\"\n";
+            }
+        }
+        const auto outcome = read(text);
+        REQUIRE(outcome.value);
+        for (int tries = 0; tries < 100; ++tries) {
+            const std::string path = make_path();
+            const std::string* best = nullptr;
+            for (const auto& prefix : prefixes) {
+                const bool matches =
+                    path.starts_with(prefix) &&
+                    (path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/');
+                if (matches && (best == nullptr || prefix.size() > best->size())) {
+                    best = &prefix;
+                }
+            }
+            const auto* found = dm::find_route(*outcome.value, path);
+            CHECK((found == nullptr) == (best == nullptr));
+            if (found != nullptr && best != nullptr) {
+                CHECK(found->prefix == *best);
+            }
+        }
+    }
+}
+
 TEST_CASE("The longest prefix of whole segments finds the route") {
     const auto config = *read(base_text).value;
     CHECK(dm::find_route(config, "/store/confirm/7")->priority == 9);
