--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -128,6 +128,9 @@
     def end(self, one):
         for process in self.nodes + self.targets:
             one.restart(process)
+        for target in self.targets:
+            address = target["addresses"]["requests"]
+            fleet.wait_until(lambda a=address: fleet.exchange(a, "GET", "/runs"), 5)
         super().end(one)
 
     def capacity(self):
