Copy idempotency records from the owners by earlier lists of zones, too

Change: a new process copies from the slots of every list that may count. Price: if such hosts are gone it grants no key until the window has passed; the two other owners of a key still do.

--- a/src/dandelionmount/process/claim_service.cpp
+++ b/src/dandelionmount/process/claim_service.cpp
@@ -60,10 +60,25 @@
 claim_service::claim_service(claim_service_context context)
     : context_(std::move(context)), started_(context_.time.now()), next_call_(random_number()) {}
 
+duration claim_service::record_term() const {
+    return context_.configuration.current().fleet.idempotency_window + zone_change_term;
+}
+
+std::set<std::string> claim_service::slots_with_records() const {
+    std::set<std::string> slots;
+    for (const auto& zones : context_.configuration.zones_within(record_term())) {
+        for (const auto& zone : zones) {
+            for (std::uint32_t slot = 0; slot < zone.hosts; ++slot) {
+                slots.insert(slot_name(zone.name, slot));
+            }
+        }
+    }
+    return slots;
+}
+
 std::vector<owner_group> claim_service::owner_groups(const claim_name& name) const {
-    const auto term = context_.configuration.current().fleet.idempotency_window + zone_change_term;
     std::vector<owner_group> groups;
-    for (const auto& zones : context_.configuration.zones_within(term)) {
+    for (const auto& zones : context_.configuration.zones_within(record_term())) {
         groups.push_back(choose_claim_owners(name, zones));
     }
     return groups;
@@ -264,18 +279,13 @@
     }
     copying_ = true;
     bool all = true;
-    // A copy, since the configuration may change while a host is asked.
-    const auto known = context_.configuration.zones();
-    const std::vector<zone_settings> zones(known.begin(), known.end());
-    for (const auto& zone : zones) {
-        for (std::uint32_t slot = 0; slot < zone.hosts && all; ++slot) {
-            const auto host = host_of(slot_name(zone.name, slot));
-            const bool own = host && *host == context_.members.self.host();
-            if (!own) {
-                all = false;
-                if (host) {
-                    all = co_await copy_from(*host);
-                }
+    for (const auto& slot : slots_with_records()) {
+        const auto host = host_of(slot);
+        const bool own = host && *host == context_.members.self.host();
+        if (!own && all) {
+            all = false;
+            if (host) {
+                all = co_await copy_from(*host);
             }
         }
     }
--- a/src/dandelionmount/process/claim_service.h
+++ b/src/dandelionmount/process/claim_service.h
@@ -83,6 +83,10 @@
     boost::asio::awaitable<bool> copy_from(std::string host);
     void send_finish(const wire::claim_finish& finish, const std::string& slot);
     void release(const claim_name& name, const std::string& holder);
+    /// How long after a change of the zones the owners by the earlier list matter.
+    [[nodiscard]] duration record_term() const;
+    /// All slots that may own keys by a list of zones that may matter.
+    [[nodiscard]] std::set<std::string> slots_with_records() const;
     /// The owners of a key by each list of zones that may matter: those in force, and those replaced so
     /// lately that their owners' records still count.
     [[nodiscard]] std::vector<owner_group> owner_groups(const claim_name& name) const;
