Ask the hosts that have not confirmed a change, so that apply ends when it is in force

Cause: on the log platform a change was in force at all six hosts 0.03 to 0.04 s after it was sent (24 changes, polled at each host beside the command). Only the confirmation came late: dandelionctl apply waits until each host has said so to the node it talks to, and that node heard of it by its regular probes of hosts drawn at random: 0.07 to 2.67 s, four of 24 over 2 s. Ruled out: the spreading of versions by datagrams, the readers of the log, load. Change: while apply waits, its node probes the hosts that have not confirmed (hosts_behind, tested without network).

--- a/src/dandelionctl/commands.cpp
+++ b/src/dandelionctl/commands.cpp
@@ -50,7 +50,7 @@
     std::optional<dandelionmount::configuration> read_files();
     exit_code wait_for_change(const std::string& change_id);
     std::vector<std::string> hosts_behind(const Json::Value& status) const;
-    exit_code wait_in_force(Json::Value outcome);
+    exit_code wait_in_force(Json::Value outcome, const std::string& change_id);
 
     const words& arguments_;
     const command_options& options_;
@@ -186,7 +186,7 @@
         const Json::Value answer = call("change", parameters);
         const std::string outcome = answer["outcome"].asString();
         if (outcome == "accepted" || outcome == "repeated") {
-            return wait_in_force(answer);
+            return wait_in_force(answer, change_id);
         }
         if (outcome == "conflict") {
             print(answer, "conflict: the document is at version " + answer["document_version"].asString() +
@@ -218,11 +218,15 @@
     return behind;
 }
 
-exit_code command::wait_in_force(Json::Value outcome) {
+exit_code command::wait_in_force(Json::Value outcome, const std::string& change_id) {
+    Json::Value parameters;
+    parameters["change_id"] = change_id;
     const auto until = steady_clock::now() + std::chrono::milliseconds(options_.wait_ms);
     std::vector<std::string> behind = hosts_behind(call("status"));
     while (!behind.empty() && steady_clock::now() < until) {
         std::this_thread::sleep_for(poll_pause);
+        // Makes the node ask the hosts that have not confirmed the change.
+        call("change", parameters);
         behind = hosts_behind(call("status"));
     }
     std::string text = "accepted, version " + outcome["version"].asString() + "\n";
--- a/src/dandelionmount/process/gossip_service.cpp
+++ b/src/dandelionmount/process/gossip_service.cpp
@@ -51,6 +51,16 @@
     return datagram;
 }
 
+std::vector<std::string> hosts_behind(const member_table& members, const heard_configurations& heard,
+                                      std::uint64_t next_offset) {
+    std::vector<std::string> behind = alive_hosts(members);
+    std::erase_if(behind, [&](const std::string& host) {
+        const auto found = heard.find(host);
+        return found != heard.end() && found->second.next_offset >= next_offset;
+    });
+    return behind;
+}
+
 gossip_service::gossip_service(gossip_context context)
     : context_(std::move(context)), socket_(context_.executor), next_sequence_(random_number()) {}
 
@@ -180,6 +190,13 @@
     }
 }
 
+void gossip_service::probe_behind() {
+    const auto next_offset = context_.configuration.state().next_offset;
+    for (const auto& host : hosts_behind(context_.members, heard_, next_offset)) {
+        ping(host, address_of(host));
+    }
+}
+
 void gossip_service::spread_soon() {
     if (spreading_) {
         return;
--- a/src/dandelionmount/process/gossip_service.h
+++ b/src/dandelionmount/process/gossip_service.h
@@ -40,6 +40,12 @@
     std::set<std::string, std::less<>> pending_withdrawals;
 };
 
+using heard_configurations = std::map<std::string, heard_configuration, std::less<>>;
+
+/// Hosts that are alive and have not said that they have the state that follows `next_offset` in force.
+[[nodiscard]] std::vector<std::string>
+hosts_behind(const member_table& members, const heard_configurations& heard, std::uint64_t next_offset);
+
 /// Learns which hosts are alive, and spreads changes between hosts, by datagrams that carry a proof of the
 /// secret.
 class gossip_service {
@@ -53,15 +59,15 @@
     void spread_soon();
     /// Probes every host that is alive, to hear of its configuration.
     void probe_all();
+    /// Probes the hosts that have not confirmed this host's configuration.
+    void probe_behind();
     /// Called with a host that has a later configuration.
     void on_later_configuration(std::function<void(const std::string&)> action) {
         on_later_ = std::move(action);
     }
     /// Called when the set of hosts or their targets changed.
     void on_member_change(std::function<void()> action) { on_members_ = std::move(action); }
-    [[nodiscard]] const std::map<std::string, heard_configuration, std::less<>>& heard() const {
-        return heard_;
-    }
+    [[nodiscard]] const heard_configurations& heard() const { return heard_; }
 
 private:
     struct probe {
--- a/src/dandelionmount/process/operator_service.cpp
+++ b/src/dandelionmount/process/operator_service.cpp
@@ -187,6 +187,8 @@
     const std::string change_id = request["change_id"].asString();
     const auto* known = find_change(context_.configuration.state(), change_id);
     if (known != nullptr) {
+        // Probes of the regular rounds reach each host of a fleet after seconds only.
+        context_.gossip.probe_behind();
         response["outcome"] = outcome_name(known->outcome);
         response["version"] = to_value(known->version);
     } else {
--- a/tests/process/gossip_service_test.cpp
+++ b/tests/process/gossip_service_test.cpp
@@ -32,4 +32,22 @@
     }
 }
 
+TEST_CASE("A host is behind until it says that it has the state in force") {
+    dm::member_table members;
+    for (const auto* name : {"early", "late", "silent", "dead"}) {
+        dm::wire::member_record record;
+        record.set_host(name);
+        record.set_incarnation(1);
+        record.set_state(std::string_view(name) == "dead" ? dm::wire::member_dead : dm::wire::member_alive);
+        dm::merge_record(members, record, dm::steady_time{});
+    }
+    dm::heard_configurations heard;
+    heard["early"].next_offset = 7;
+    heard["late"].next_offset = 6;
+    CHECK(dm::hosts_behind(members, heard, 7) == std::vector<std::string>{"late", "silent"});
+    heard["late"].next_offset = 8;
+    heard["silent"].next_offset = 7;
+    CHECK(dm::hosts_behind(members, heard, 7).empty());
+}
+
 TEST_SUITE_END();
--- a/tests/system/configuration_time_test.py
+++ b/tests/system/configuration_time_test.py
@@ -16,13 +16,14 @@
         shown = self.fleet.ctl("account", "list", node=node)
         return [one["rate"] for one in json.loads(shown.stdout)]
 
-    def test_an_accepted_change_is_in_force_everywhere_within_two_seconds(self):
-        changed = self.write(base_text().replace("rate = 400", "rate = 432", 1))
-        began = time.monotonic()
-        self.assertEqual(self.fleet.ctl("apply", changed).returncode, 0)
-        for index in range(len(self.fleet.nodes())):
-            fleet.wait_until(lambda i=index: self.rates(i)[0] == 432, 2)
-        self.assertLess(time.monotonic() - began, 2)
+    def test_each_of_many_changes_is_in_force_and_confirmed_everywhere_within_two_seconds(self):
+        for rate in range(432, 462):
+            changed = self.write(base_text().replace("rate = 400", f"rate = {rate}", 1))
+            began = time.monotonic()
+            self.assertEqual(self.fleet.ctl("apply", changed).returncode, 0)
+            for index in range(len(self.fleet.nodes())):
+                fleet.wait_until(lambda i=index, r=rate: self.rates(i)[0] == r, 2)
+            self.assertLess(time.monotonic() - began, 2)
 
 
 if __name__ == "__main__":
