Let few hosts read the store, and go on by what they prove where it turns a host away

Change: the hosts that divide the rates read the topics; what they know of them (where the topic ended, how long ago) comes with their answers to the reports that each host sends four times a second anyway. A host rests while such proofs are young, takes records that it lacks from the host that proved them, and reads the store itself when neither works. Ages only add up, so no proof gets younger on its way; the host counts from before it asked. Also: a read that did not reach the end of the topic counted as proof that nothing is newer (test with short pages); a token that was not used went to the stock of a host out of touch, whose own share had been spent.

--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -50,6 +50,8 @@
         return call_key(frame.state_reply().call());
     case wire::peer_frame::kRateGrants:
         return call_key(frame.rate_grants().call());
+    case wire::peer_frame::kTopicReply:
+        return call_key(frame.topic_reply().call());
     default:
         return {};
     }
--- a/src/dandelionmount/process/fleet_limiter.cpp
+++ b/src/dandelionmount/process/fleet_limiter.cpp
@@ -52,6 +52,12 @@
     }
 }
 
+bool fleet_limiter::is_divider() const {
+    return std::any_of(dividers_.begin(), dividers_.end(), [this](const divider& one) {
+        return one.host.empty() || one.host == context_.members.self.host();
+    });
+}
+
 fleet_share fleet_limiter::share_of(const account_settings& account) const {
     return {account.rate, account.burst, fleet_size()};
 }
@@ -87,7 +93,9 @@
 void fleet_limiter::give_back(std::string_view account) {
     const auto found = stocks_.find(account);
     if (found != stocks_.end()) {
-        found->second.tokens += 1;
+        const bool in_touch =
+            dividers_[group_of(account)].in_touch_until > context_.time.now_with_suspension();
+        return_token(found->second, in_touch);
     }
 }
 
@@ -149,6 +157,7 @@
     const auto reply = co_await link->call(frame, call_key(call), context_.time.now() + limit);
     if (reply && reply->has_rate_grants()) {
         take_grants(group, reply->rate_grants(), asked);
+        context_.topics.read_proofs(reply->rate_grants(), host, asked);
     }
 }
 
@@ -191,6 +200,7 @@
                            std::shared_ptr<frame_stream> stream) {
     wire::peer_frame frame;
     *frame.mutable_rate_grants() = divide(report, from.host);
+    context_.topics.write_proofs(*frame.mutable_rate_grants());
     stream->send(frame);
 }
 
--- a/src/dandelionmount/process/fleet_limiter.h
+++ b/src/dandelionmount/process/fleet_limiter.h
@@ -10,6 +10,7 @@
 #include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/peer_directory.h"
 #include "dandelionmount/process/rate_division.h"
+#include "dandelionmount/process/topic_sharing.h"
 
 #include <map>
 #include <memory>
@@ -27,6 +28,8 @@
     const configuration_store& configuration;
     const member_table& members;
     peer_directory& peers;
+    /// What the dividers know of the store comes with their answers.
+    topic_sharing& topics;
 };
 
 /// Admits requests within each account's rate and burst over all hosts together.
@@ -44,6 +47,8 @@
 
     /// Answers another host's report with tokens.
     void answer(const wire::rate_report& report, const peer_name& from, std::shared_ptr<frame_stream> stream);
+    /// Whether this host keeps buckets, or does not know yet who does.
+    [[nodiscard]] bool is_divider() const;
     /// Reports this host's demand; called several times a second.
     void report();
 
--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -17,8 +17,8 @@
 constexpr std::string_view secret_key = "secret";
 constexpr std::string_view host_prefix = "host/";
 constexpr std::size_t secret_bytes = 32;
-// Joins and leaves are few, so that one read may wait for long; a silent connection is noticed as late.
-constexpr duration registry_wait = std::chrono::seconds(10);
+// A silent connection to the store is noticed as late as this. Few hosts read for the others.
+constexpr duration registry_wait = std::chrono::seconds(3);
 constexpr duration registry_gather = std::chrono::milliseconds(150);
 // A host that has just started is made known together with its target, unless that takes longer than this.
 constexpr duration target_wait = std::chrono::seconds(2);
@@ -37,7 +37,7 @@
 fleet_registry::fleet_registry(fleet_registry_context context)
     : context_(std::move(context)), started_(context_.time.now()),
       follower_({context_.executor, context_.time, context_.store, context_.random, context_.topic,
-                 registry_wait, registry_gather},
+                 registry_wait, registry_gather, context_.peers},
                 {[this](std::span<const keyed_record> records, bool whole) { take_records(records, whole); },
                  [](steady_time) {}}) {}
 
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -21,6 +21,7 @@
     std::string topic;
     /// Called when the secret becomes known and after each change of the members.
     std::function<void()> on_change;
+    topic_peers peers;
 };
 
 /// The hosts of the fleet and the secret that they share, as the platform's store keeps them. Hosts join and
@@ -34,6 +35,7 @@
     /// The fleet's secret; empty while it is not known.
     [[nodiscard]] const std::string& secret() const { return secret_; }
     [[nodiscard]] bool is_connected() const { return follower_.is_connected(); }
+    [[nodiscard]] topic_follower& follower() { return follower_; }
     /// Makes this host's own record, `members.self`, known to the others.
     void publish();
     /// Takes this host's record away; gives up after a while.
--- a/src/dandelionmount/process/rate_division.cpp
+++ b/src/dandelionmount/process/rate_division.cpp
@@ -44,6 +44,14 @@
     return true;
 }
 
+void return_token(token_stock& stock, bool in_touch) {
+    if (in_touch) {
+        stock.tokens += 1;
+    } else {
+        stock.own_tokens += 1;
+    }
+}
+
 void note_report(token_stock& stock, steady_time now) {
     const double passed = stock.reported == steady_time{} ? 1 : to_seconds(now - stock.reported);
     if (passed <= 0) {
--- a/src/dandelionmount/process/rate_division.h
+++ b/src/dandelionmount/process/rate_division.h
@@ -48,6 +48,9 @@
 
 /// Spends a token for one request: of the stock while the host is in touch, else of its own share.
 [[nodiscard]] bool spend(token_stock& stock, const fleet_share& share, bool in_touch, steady_time now);
+/// Puts back the token of a request that was not run, where a request would spend one now. `in_touch` as in
+/// spend().
+void return_token(token_stock& stock, bool in_touch);
 /// Ends the interval since the last report and takes its arrivals into the demand.
 void note_report(token_stock& stock, steady_time now);
 /// Tokens to ask for; `urgent` when a request waits for one.
--- a/src/dandelionmount/process/record_store.h
+++ b/src/dandelionmount/process/record_store.h
@@ -24,6 +24,8 @@
     std::vector<keyed_record> records;
     /// Offset from which to read on.
     std::uint64_t next{0};
+    /// Where the topic ended; beyond `next` when there was more than one answer holds.
+    std::uint64_t end{0};
     /// The records that were asked for are gone; what is newest has to be read as a whole.
     bool trimmed{false};
 };
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -20,9 +20,13 @@
 constexpr duration upkeep_interval = std::chrono::milliseconds(125);
 constexpr int rounds_between_reports = 2;
 constexpr int rounds_of_second = 8;
-// One read of the configuration waits this long: two of them and their answers fit into the time within which
-// a withdrawn key must stop.
-constexpr duration configuration_wait = std::chrono::milliseconds(1500);
+// One read of the configuration waits this long. With the interval between reports it stays below the time
+// for which a proof counts, so that the other hosts do not read.
+constexpr duration configuration_wait = std::chrono::milliseconds(700);
+// A host whose proofs are older reads the store itself; a change is then in force well within two seconds.
+constexpr duration configuration_proof_validity = std::chrono::milliseconds(1200);
+// The same for the list of hosts, whose reads wait longer.
+constexpr duration hosts_proof_validity = std::chrono::milliseconds(4000);
 // Taken off the time within which a withdrawn key must stop, for clocks that run at different speeds.
 constexpr duration freshness_margin = std::chrono::milliseconds(500);
 // Announcements that may be missing before a target counts as gone; they may be seconds late.
@@ -96,11 +100,14 @@
                  ip_of(own.target_address), &pressure_}),
       dispatcher_(make_dispatcher_context(time, counters_, configuration_, members_, peers_, executor_,
                                           random_, pressure_)),
-      limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_}),
+      topics_(time, peers_),
+      limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_}),
       registry_({io.get_executor(), time, store, random_, members_, adapter.hosts_topic,
-                 [this] { note_registry_change(); }}),
+                 [this] { note_registry_change(); },
+                 make_topic_peers(adapter.hosts_topic, hosts_proof_validity)}),
       configuration_follower_(
-          {io.get_executor(), time, store, random_, adapter.configuration_topic, configuration_wait},
+          {io.get_executor(), time, store, random_, adapter.configuration_topic, configuration_wait,
+           duration{0}, make_topic_peers(adapter.configuration_topic, configuration_proof_validity)},
           {[this](std::span<const keyed_record> records, bool) { take_configuration(records); },
            [this](steady_time asked) { configuration_.note_fresh(asked); }}),
       peer_server_(
@@ -123,10 +130,23 @@
                        [this](http_request request, std::shared_ptr<cancel_token>) {
                            return answer_operator(std::move(request));
                        }) {
+    topics_.add(configuration_follower_);
+    topics_.add(registry_.follower());
     configuration_.require_freshness({own.key_withdrawal - freshness_margin});
     target_.on_change([this] { publish_target(); });
 }
 
+// Those who divide the rates hear from every host several times a second, and so read the store for all.
+topic_peers store_node::make_topic_peers(std::string topic, duration proof_validity) {
+    topic_peers peers;
+    peers.reads_store = [this] { return limiter_.is_divider(); };
+    peers.fetch = [this, topic = std::move(topic)](std::string host, std::uint64_t from) {
+        return topics_.fetch(topic, std::move(host), from);
+    };
+    peers.proof_validity = proof_validity;
+    return peers;
+}
+
 result<void> store_node::start() {
     for (const auto& opened : {readiness_server_.listen(settings_.readiness_address),
                                announcement_server_.listen(settings_.announcement_address),
@@ -237,6 +257,9 @@
     case wire::peer_frame::kHeartbeat:
         stream->send(frame);
         break;
+    case wire::peer_frame::kTopicRequest:
+        topics_.answer(frame.topic_request(), std::move(stream));
+        break;
     case wire::peer_frame::kRateReport:
         limiter_.answer(frame.rate_report(), from, std::move(stream));
         break;
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -14,6 +14,7 @@
 #include "dandelionmount/process/service_pressure.h"
 #include "dandelionmount/process/store_settings.h"
 #include "dandelionmount/process/topic_follower.h"
+#include "dandelionmount/process/topic_sharing.h"
 #include "dandelionmount/request/dispatcher.h"
 #include "dandelionmount/request/executor.h"
 
@@ -40,6 +41,7 @@
     void take_configuration(std::span<const keyed_record> records);
     void take_configuration_text(std::string_view text);
     void note_registry_change();
+    [[nodiscard]] topic_peers make_topic_peers(std::string topic, duration proof_validity);
     void handle_frame(const wire::peer_frame& frame, const peer_name& from,
                       std::shared_ptr<frame_stream> stream);
     boost::asio::awaitable<void> run_upkeep();
@@ -68,6 +70,7 @@
     target_connections connections_;
     executor executor_;
     dispatcher dispatcher_;
+    topic_sharing topics_;
     fleet_limiter limiter_;
     fleet_registry registry_;
     topic_follower configuration_follower_;
--- /dev/null
+++ b/src/dandelionmount/process/topic_sharing.cpp
@@ -0,0 +1,95 @@
+#include "dandelionmount/process/topic_sharing.h"
+
+#include "dandelionmount/connection/peer_link.h"
+#include "dandelionmount/process/crypto.h"
+
+#include <algorithm>
+
+namespace dandelionmount {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A host that does not answer within this time is passed over, and the store read; both fit into the second
+// that a change may take to come into force.
+constexpr duration fetch_limit = std::chrono::milliseconds(300);
+// Ages are rounded up, so that no proof looks younger than it is.
+constexpr duration age_rounding = std::chrono::milliseconds(1);
+
+} // namespace
+
+topic_follower* topic_sharing::find(std::string_view topic) const {
+    const auto found = std::find_if(followers_.begin(), followers_.end(),
+                                    [topic](const auto* follower) { return follower->topic() == topic; });
+    return found == followers_.end() ? nullptr : *found;
+}
+
+void topic_sharing::write_proofs(wire::rate_grants& grants) const {
+    const auto now = time_.now_with_suspension();
+    for (const auto* follower : followers_) {
+        const auto proof = follower->proof();
+        if (proof) {
+            auto* written = grants.add_proofs();
+            written->set_topic(follower->topic());
+            written->set_next(proof->next);
+            written->set_age_ms(to_milliseconds(now - proof->asked + age_rounding));
+        }
+    }
+}
+
+// The answering host knew it so long before its answer, and so not earlier than that before the request.
+void topic_sharing::read_proofs(const wire::rate_grants& grants, std::string_view host, steady_time sent) {
+    for (const auto& proof : grants.proofs()) {
+        auto* follower = find(proof.topic());
+        if (follower != nullptr) {
+            follower->take_proof(host, {proof.next(), sent - std::chrono::milliseconds(proof.age_ms())});
+        }
+    }
+}
+
+asio::awaitable<result<topic_records>> topic_sharing::fetch(std::string topic, std::string host,
+                                                            std::uint64_t from) {
+    const auto link = peers_.is_connected(host) ? peers_.find(host) : nullptr;
+    if (link == nullptr) {
+        co_return failure{"no link to " + host};
+    }
+    wire::peer_frame frame;
+    const std::uint64_t call = random_number();
+    frame.mutable_topic_request()->set_call(call);
+    frame.mutable_topic_request()->set_topic(topic);
+    frame.mutable_topic_request()->set_from(from);
+    const auto reply = co_await link->call(frame, call_key(call), time_.now() + fetch_limit);
+    if (!reply || !reply->has_topic_reply() || !reply->topic_reply().complete()) {
+        co_return failure{host + " did not hand over records"};
+    }
+    topic_records found;
+    for (const auto& record : reply->topic_reply().records()) {
+        found.records.push_back(
+            {record.key(), record.has_value() ? std::optional(record.value()) : std::nullopt});
+    }
+    found.next = from + found.records.size();
+    found.end = found.next;
+    co_return found;
+}
+
+void topic_sharing::answer(const wire::topic_request& request, std::shared_ptr<frame_stream> stream) const {
+    wire::peer_frame frame;
+    auto* reply = frame.mutable_topic_reply();
+    reply->set_call(request.call());
+    const auto* follower = find(request.topic());
+    const auto records = follower == nullptr ? std::nullopt : follower->records_from(request.from());
+    reply->set_complete(records.has_value());
+    if (records) {
+        for (const auto& record : *records) {
+            auto* written = reply->add_records();
+            written->set_key(record.key);
+            if (record.value) {
+                written->set_value(*record.value);
+            }
+        }
+    }
+    stream->send(frame);
+}
+
+} // namespace dandelionmount
--- a/tests/platform/http_record_store_test.cpp
+++ b/tests/platform/http_record_store_test.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
+constexpr char end_of_topic = 57;
+
 // The answer to a read of those records, behind the end and the first offset.
 std::string read_answer(const std::vector<dm::keyed_record>& records) {
     std::string bytes(16, '\0');
+    bytes[7] = end_of_topic;
     for (const auto& record : records) {
         bytes += platform::encode_record(record);
     }
@@ -25,6 +28,7 @@
         40);
     REQUIRE(read);
     CHECK(read.value().next == 43);
+    CHECK(read.value().end == end_of_topic);
     REQUIRE(read.value().records.size() == 3);
     CHECK(read.value().records[0].key == "config");
     CHECK(read.value().records[0].value == "some text");
--- a/tests/process/rate_division_test.cpp
+++ b/tests/process/rate_division_test.cpp
@@ -198,4 +198,20 @@
     }
 }
 
+TEST_CASE("A token that was not used goes back to where it came from") {
+    const dm::fleet_share share{100, 10, 2};
+    const dm::steady_time now{std::chrono::seconds(10)};
+    dm::token_stock stock;
+    stock.own_tokens = 1;
+    stock.own_filled = now;
+    CHECK(dm::spend(stock, share, false, now));
+    dm::return_token(stock, false);
+    CHECK(stock.tokens == 0);
+    CHECK(dm::spend(stock, share, false, now));
+    CHECK_FALSE(dm::spend(stock, share, false, now));
+    dm::return_token(stock, true);
+    CHECK(stock.tokens == 1);
+    CHECK_FALSE(dm::spend(stock, share, false, now));
+}
+
 TEST_SUITE_END();
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -27,6 +27,7 @@
             found.records.push_back({key, value});
         }
         found.next = end();
+        found.end = end();
         co_return found;
     }
 
@@ -39,9 +40,11 @@
         }
         dm::topic_records found;
         found.trimmed = from < first;
-        found.next = end();
-        for (auto offset = from; !found.trimmed && offset < end(); ++offset) {
-            found.records.push_back(log[offset - first]);
+        found.end = end();
+        found.next = from;
+        while (!found.trimmed && found.next < end() && found.records.size() < most_records) {
+            found.records.push_back(log[found.next - first]);
+            ++found.next;
         }
         co_return found;
     }
@@ -68,6 +71,7 @@
     std::vector<dm::keyed_record> log;
     std::uint64_t first{0};
     bool refuses{false};
+    std::size_t most_records{100};
     int calls{0};
 
 private:
@@ -86,13 +90,67 @@
     memory_store store{io};
     std::map<std::string, std::string> seen;
     std::optional<dm::steady_time> caught_up;
-    dm::topic_follower follower{{io.get_executor(), time, store, random, "topic", milliseconds(10)},
-                                {[this](std::span<const dm::keyed_record> records, bool) {
-                                     for (const auto& record : records) {
-                                         seen[record.key] = record.value.value_or("");
-                                     }
-                                 },
-                                 [this](dm::steady_time asked) { caught_up = asked; }}};
+    dm::topic_follower follower{
+        {io.get_executor(), time, store, random, "topic", milliseconds(10), dm::duration{0}, std::nullopt},
+        {[this](std::span<const dm::keyed_record> records, bool) {
+             for (const auto& record : records) {
+                 seen[record.key] = record.value.value_or("");
+             }
+         },
+         [this](dm::steady_time asked) { caught_up = asked; }}};
+};
+
+// A host that reads the store itself, and one that goes by what the first one proves.
+struct sharing_fixture {
+    sharing_fixture() {
+        dm::topic_peers peers;
+        peers.reads_store = [this] { return reads_store; };
+        peers.proof_validity = milliseconds(80);
+        peers.fetch = [this](std::string host,
+                             std::uint64_t from) -> asio::awaitable<dm::result<dm::topic_records>> {
+            const auto records = reader.follower.records_from(from);
+            if (!fetch_works || !records) {
+                co_return dm::failure{"no link to " + host};
+            }
+            dm::topic_records found{*records, from + records->size(), from + records->size()};
+            co_return found;
+        };
+        follower.emplace(dm::topic_follower_context{reader.io.get_executor(), reader.time, own_store,
+                                                    reader.random, "topic", milliseconds(10), dm::duration{0},
+                                                    peers},
+                         dm::topic_handlers{[this](std::span<const dm::keyed_record> records, bool) {
+                                                for (const auto& record : records) {
+                                                    seen[record.key] = record.value.value_or("");
+                                                }
+                                            },
+                                            [this](dm::steady_time asked) { caught_up = asked; }});
+        reader.store.put("a", "1");
+        own_store.put("a", "1");
+        reader.follower.start();
+        follower->start();
+        reader.run(30);
+    }
+
+    void put(const std::string& key, const std::string& value) {
+        reader.store.put(key, value);
+        own_store.put(key, value);
+    }
+
+    // The reader proves what it knows several times within the validity of a proof.
+    void run_with_proofs(int for_ms) {
+        for (int passed = 0; passed < for_ms; passed += 20) {
+            follower->take_proof("reader", reader.follower.proof().value());
+            reader.run(20);
+        }
+    }
+
+    follower_fixture reader;
+    memory_store own_store{reader.io};
+    bool reads_store{false};
+    bool fetch_works{true};
+    std::optional<dm::topic_follower> follower;
+    std::map<std::string, std::string> seen;
+    std::optional<dm::steady_time> caught_up;
 };
 
 } // namespace
@@ -149,4 +207,87 @@
     CHECK(fixture.seen["b"] == "1");
 }
 
+TEST_CASE("What was read counts as fresh only when the topic was read to its end") {
+    follower_fixture fixture;
+    fixture.follower.start();
+    fixture.run(30);
+    fixture.store.refuses = true;
+    fixture.run(200);
+    const auto fresh = fixture.caught_up;
+    for (const auto* value : {"1", "2", "3"}) {
+        fixture.store.put("a", value);
+    }
+    fixture.store.most_records = 0;
+    fixture.store.refuses = false;
+    fixture.run(1000);
+    CHECK(fixture.caught_up == fresh);
+    fixture.store.most_records = 1;
+    fixture.run(50);
+    CHECK(fixture.seen["a"] == "3");
+    CHECK(fixture.caught_up > fresh);
+}
+
+TEST_CASE("A follower does not read while others prove that nothing is new, and reads again without them") {
+    sharing_fixture fixture;
+    fixture.run_with_proofs(40);
+    fixture.own_store.calls = 0;
+    fixture.run_with_proofs(400);
+    CHECK(fixture.own_store.calls == 0);
+    CHECK(fixture.caught_up >= fixture.reader.time.now_with_suspension() - milliseconds(80));
+    fixture.reader.run(120);
+    CHECK(fixture.own_store.calls > 0);
+}
+
+TEST_CASE("A host that reads for the others goes on reading whatever they prove") {
+    sharing_fixture fixture;
+    fixture.reads_store = true;
+    fixture.run_with_proofs(40);
+    fixture.own_store.calls = 0;
+    fixture.run_with_proofs(100);
+    CHECK(fixture.own_store.calls > 3);
+}
+
+TEST_CASE("A follower that the store turns away gets records and freshness from another host") {
+    sharing_fixture fixture;
+    fixture.own_store.refuses = true;
+    fixture.put("a", "2");
+    fixture.reader.run(30);
+    const auto before = fixture.reader.time.now_with_suspension();
+    fixture.run_with_proofs(60);
+    CHECK(fixture.seen["a"] == "2");
+    CHECK(fixture.caught_up >= before - milliseconds(40));
+    CHECK(fixture.own_store.calls < 20);
+}
+
+TEST_CASE("A follower reads the store when the host that knows more does not hand it over") {
+    sharing_fixture fixture;
+    fixture.fetch_works = false;
+    fixture.put("a", "2");
+    fixture.reader.run(30);
+    const auto fresh = fixture.caught_up;
+    fixture.follower->take_proof("reader", fixture.reader.follower.proof().value());
+    // Others know of records that are not here: their proof says nothing of this host.
+    CHECK(fixture.caught_up == fresh);
+    fixture.reader.run(60);
+    CHECK(fixture.seen["a"] == "2");
+}
+
+TEST_CASE("A follower hands over the records that it still has, and none with a gap") {
+    follower_fixture fixture;
+    fixture.store.put("a", "1");
+    fixture.follower.start();
+    fixture.run(30);
+    for (const auto* value : {"2", "3"}) {
+        fixture.store.put("a", value);
+        fixture.run(30);
+    }
+    const auto records = fixture.follower.records_from(2);
+    REQUIRE(records);
+    REQUIRE(records->size() == 1);
+    CHECK(records->front().value == "3");
+    CHECK(fixture.follower.records_from(3)->empty());
+    CHECK_FALSE(fixture.follower.records_from(0));
+    CHECK_FALSE(fixture.follower.records_from(4));
+}
+
 TEST_SUITE_END();
--- a/tests/system/store_fleet.py
+++ b/tests/system/store_fleet.py
@@ -3,7 +3,10 @@
 import http.server
 import json
 import os
+import select
 import signal
+import socket
+import socketserver
 import struct
 import subprocess
 import tempfile
@@ -12,7 +15,7 @@
 
 from fleet import BUILD, exchange
 
-CALLERS, READINESS, ANNOUNCEMENTS, PEERS, OPERATORS, TARGET = 8080, 8081, 8082, 7000, 7015, 9000
+CALLERS, READINESS, ANNOUNCEMENTS, PEERS, OPERATORS, TARGET, PATH = 8080, 8081, 8082, 7000, 7015, 9000, 9201
 KEY = "key-of-one"
 
 
@@ -69,10 +72,38 @@
     return struct.pack(">I", len(content)) + content
 
 
+class StorePath(socketserver.ThreadingTCPServer):
+    """One node's way to the store, which can be cut."""
+
+    daemon_threads = True
+    allow_reuse_address = True
+
+    def __init__(self, address, store_address):
+        self.store_address = store_address
+        self.is_cut = False
+        super().__init__(address, StorePathHandler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class StorePathHandler(socketserver.BaseRequestHandler):
+    def handle(self):
+        if self.server.is_cut:
+            return
+        host, port = self.server.store_address.rsplit(":", 1)
+        with socket.create_connection((host, int(port))) as store:
+            other = {store: self.request, self.request: store}
+            while not self.server.is_cut:
+                for ready in select.select(list(other), [], [], 0.05)[0]:
+                    data = ready.recv(65536)
+                    if not data:
+                        return
+                    other[ready].sendall(data)
+
+
 class StoreFleet:
     """A store and nodes, from their start to their end."""
 
-    def __init__(self, network, services):
+    def __init__(self, network, services, own_path=False):
         self.dir = tempfile.mkdtemp(prefix="dandelionmount-")
         self.store_address = f"{network}.0.1:9200"
         self.children = []
@@ -80,6 +111,8 @@
         self.store = self.spawn([os.path.join(BUILD, "standins/standin_store"), "--address", self.store_address])
         self.targets = [TargetServer(ip, service, f"i-{index}")
                         for index, (ip, service) in enumerate(zip(self.ips, services))]
+        # The first node's own way to the store, for tests that cut it.
+        self.path = StorePath((self.ips[0], PATH), self.store_address) if own_path else None
         self.nodes = []
         for index in range(len(services)):
             self.nodes.append(self.start_node(index))
@@ -97,6 +130,7 @@
     def start_node(self, index):
         ip = self.ips[index]
         path = os.path.join(self.dir, f"node-{index}.toml")
+        store = f"{ip}:{PATH}" if index == 0 and self.path else self.store_address
         with open(path, "w", encoding="utf-8") as file:
             file.write(f"""[host]
 name = "host-{index}"
@@ -111,7 +145,7 @@
 announcement_interval = "200ms"
 stop_wait = "4s"
 [platform]
-store_address = "{self.store_address}"
+store_address = "{store}"
 [fleet]
 key_withdrawal = "5s"
 """)
@@ -182,6 +216,6 @@
             if child.poll() is None:
                 child.send_signal(signal.SIGKILL)
             child.wait()
-        for target in self.targets:
-            target.shutdown()
-            target.server_close()
+        for server in self.targets + ([self.path] if self.path else []):
+            server.shutdown()
+            server.server_close()
--- a/tests/system/store_test.py
+++ b/tests/system/store_test.py
@@ -53,6 +53,19 @@
         self.fleet.fault(mode="none")
         self.assertTrue(self.fleet.wait(lambda: self.fleet.ask(0, "/read/x", key="second").status == 200, 5))
 
+    def test_a_host_that_the_store_turns_away_goes_on_by_what_other_hosts_know(self):
+        self.fleet.stop()
+        self.fleet = StoreFleet(f"127.{StoreTest.network}", ["front", "back", "back"], own_path=True)
+        self.start()
+        self.fleet.path.is_cut = True
+        lost = time.monotonic()
+        while time.monotonic() - lost < 6:
+            self.assertEqual(self.fleet.ask(0, "/read/x").status, 200)
+            time.sleep(0.05)
+        self.fleet.configure(5, ["second"])
+        self.assertTrue(self.fleet.wait(lambda: self.fleet.ask(0, "/read/x").status == 401, 2))
+        self.assertEqual(self.fleet.ask(0, "/read/x", key="second").status, 200)
+
     def test_a_configuration_comes_through_lost_answers_and_dropped_history(self):
         self.start()
         self.fleet.fault(mode="lose")
