Let the fleet's saved retries follow its settings and size

fleet.retry_slack was read and documented but decided nothing: each host saved one retry a service whatever it said. Now all hosts together save half of it, each at least one.

--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -34,7 +34,6 @@
 // Retries at one service are repeated calls at the services below. With this part of the fleet's share at
 // each, two services of a chain may fail at the same time.
 constexpr double retry_part_of_chain = 0.5;
-constexpr double least_saved_retries = 1;
 // A host that nobody reached for this long is taken off the list.
 constexpr duration removal_time = std::chrono::seconds(20);
 // A stopping host goes on taking requests until the platform has asked twice and was told that it is not
@@ -78,7 +77,7 @@
                                            service_pressure& pressure) {
     dispatcher_context context{time, counters, configuration, members, peers, local, random};
     context.shares_allowance = false;
-    context.most_saved_retries = least_saved_retries;
+    context.most_saved_retries = saved_retries_of_host(0, 1);
     context.redirects_refused = true;
     context.pressure = &pressure;
     return context;
@@ -209,6 +208,8 @@
             log_event(log_level::error, "peer port not open", {{"cause", opened.error().message}});
         }
     }
+    dispatcher_.set_most_saved_retries(
+        saved_retries_of_host(settings_.retry_slack * retry_part_of_chain, members_.others.size() + 1));
     peers_.forget_gone();
     if (peers_open_) {
         peers_.keep_connected();
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -120,6 +120,13 @@
     return reply;
 }
 
+void dispatcher::set_most_saved_retries(double most_saved) {
+    context_.most_saved_retries = most_saved;
+    for (auto& [service, budget] : budgets_) {
+        budget.set_most_saved(most_saved);
+    }
+}
+
 asio::awaitable<wire::forward_reply> dispatcher::dispatch(dispatch_order order) {
     if (order.enters_here && !passes_entrance(order)) {
         co_return shed(order);
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -65,6 +65,8 @@
     /// The final answer: an attempt is repeated only when the one before is proved not to have run, or when
     /// the request is idempotent, and only within the request's allowance and the service's budget.
     boost::asio::awaitable<wire::forward_reply> dispatch(dispatch_order order);
+    /// Sets how many retries to each service may be saved up while none are needed.
+    void set_most_saved_retries(double most_saved);
     /// Takes in whether a worker's host can be reached.
     void note_reachable(const std::string& host, bool reachable) { workers_[host].reachable = reachable; }
 
--- a/src/dandelionmount/request/retry_allowance.cpp
+++ b/src/dandelionmount/request/retry_allowance.cpp
@@ -22,6 +22,11 @@
     saved_ = std::min(most_saved_, saved_ + share);
 }
 
+void retry_budget::set_most_saved(double most_saved) {
+    most_saved_ = most_saved;
+    saved_ = std::min(saved_, most_saved_);
+}
+
 bool retry_budget::use_one() {
     if (saved_ < 1) {
         return false;
@@ -30,4 +35,8 @@
     return true;
 }
 
+double saved_retries_of_host(double fleet, std::size_t hosts) {
+    return std::max(1.0, fleet / static_cast<double>(std::max<std::size_t>(1, hosts)));
+}
+
 } // namespace dandelionmount
--- a/src/dandelionmount/request/retry_allowance.h
+++ b/src/dandelionmount/request/retry_allowance.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONMOUNT_REQUEST_RETRY_ALLOWANCE_H
 #define DANDELIONMOUNT_REQUEST_RETRY_ALLOWANCE_H
 
+#include <cstddef>
 #include <cstdint>
 
 namespace dandelionmount {
@@ -30,6 +31,8 @@
     /// Retries that may be saved up while none are needed, half of which are there at the start.
     explicit retry_budget(double most_saved = 10) : most_saved_(most_saved), saved_(most_saved / 2) {}
     void note_first_attempt(double share);
+    /// Sets how many may be saved up from now on.
+    void set_most_saved(double most_saved);
     /// Uses one retry; false when the budget is empty.
     [[nodiscard]] bool use_one();
 
@@ -38,6 +41,10 @@
     double saved_;
 };
 
+/// Retries that one host of a fleet may save up for a service, where all hosts together may use `fleet` at
+/// once. At least one: a host that may save none could never retry.
+[[nodiscard]] double saved_retries_of_host(double fleet, std::size_t hosts);
+
 } // namespace dandelionmount
 
 #endif
