Compare the targets of a service over the fleet, and send less to those that are slow or failing

A sender knows a target's load from its answers; a slow target answers seldom, so that its report is old and only the sender's own few requests count: it looked idle and drew work. The larger the fleet, the fewer each sender sees. Change: each host tells with its reports how long its target's requests run, by route, how long those under way have run, what share fails, and its load (target_speed). The hosts that divide the rates compare the targets of a service with the better quarter of it and send notes on those that stand out with their answers (target_comparison, target_watch). The choice of a worker multiplies load by slowness and failures; one request in a hundred goes to a noted worker, so that its recovery is seen. The two workers that are compared are now always two. Tests: a slow worker of a fleet at which this host has nothing under way, hanging and failing targets, recovery with few requests. The system test of a host turned away left its fleet running, which disturbed later runs; it stops it now.

--- a/src/dandelionmount/process/fleet_limiter.cpp
+++ b/src/dandelionmount/process/fleet_limiter.cpp
@@ -143,7 +143,10 @@
     wire::rate_report report = make_report(group, urgent_account);
     const std::string host = dividers_[group].host;
     if (host == context_.members.self.host()) {
-        take_grants(group, divide(report, host), asked);
+        wire::rate_grants grants = divide(report, host);
+        context_.targets.write_notes(grants);
+        take_grants(group, grants, asked);
+        context_.targets.read_notes(grants);
         co_return;
     }
     const auto link = context_.peers.is_connected(host) ? context_.peers.find(host) : nullptr;
@@ -153,11 +156,15 @@
     wire::peer_frame frame;
     const std::uint64_t call = report.call();
     *frame.mutable_rate_report() = std::move(report);
+    if (urgent_account.empty()) {
+        context_.targets.write_state(*frame.mutable_rate_report());
+    }
     const duration limit = urgent_account.empty() ? answer_limit : urgent_limit;
     const auto reply = co_await link->call(frame, call_key(call), context_.time.now() + limit);
     if (reply && reply->has_rate_grants()) {
         take_grants(group, reply->rate_grants(), asked);
         context_.topics.read_proofs(reply->rate_grants(), host, asked);
+        context_.targets.read_notes(reply->rate_grants());
     }
 }
 
@@ -201,6 +208,10 @@
     wire::peer_frame frame;
     *frame.mutable_rate_grants() = divide(report, from.host);
     context_.topics.write_proofs(*frame.mutable_rate_grants());
+    if (report.has_target()) {
+        context_.targets.read_state(report, from.host);
+        context_.targets.write_notes(*frame.mutable_rate_grants());
+    }
     stream->send(frame);
 }
 
--- a/src/dandelionmount/process/fleet_limiter.h
+++ b/src/dandelionmount/process/fleet_limiter.h
@@ -10,6 +10,7 @@
 #include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/peer_directory.h"
 #include "dandelionmount/process/rate_division.h"
+#include "dandelionmount/process/target_watch.h"
 #include "dandelionmount/process/topic_sharing.h"
 
 #include <map>
@@ -30,6 +31,8 @@
     peer_directory& peers;
     /// What the dividers know of the store comes with their answers.
     topic_sharing& topics;
+    /// The state of the targets goes with the reports.
+    target_watch& targets;
 };
 
 /// Admits requests within each account's rate and burst over all hosts together.
--- a/src/dandelionmount/process/local_target.cpp
+++ b/src/dandelionmount/process/local_target.cpp
@@ -51,6 +51,7 @@
     announced_ = announcement;
     if (replaced) {
         forget_measurements(guard_);
+        forget_speed(speed_);
     }
     set_ceiling(guard_, switches_.guard ? usable_slots(announcement.slots) : unguarded_slots);
     if (changed && action_) {
--- a/src/dandelionmount/process/local_target.h
+++ b/src/dandelionmount/process/local_target.h
@@ -4,6 +4,7 @@
 #include "dandelionmount/process/clock.h"
 #include "dandelionmount/process/settings.h"
 #include "dandelionmount/process/target_guard.h"
+#include "dandelionmount/process/target_speed.h"
 #include "dandelionmount/wire/peer.pb.h"
 
 #include <cstdint>
@@ -61,6 +62,9 @@
     [[nodiscard]] const target_announcement& announced() const { return announced_; }
     [[nodiscard]] bool is_ready_for(std::string_view service) const;
     [[nodiscard]] target_guard& guard() { return guard_; }
+    [[nodiscard]] const target_guard& guard() const { return guard_; }
+    [[nodiscard]] target_speed& speed() { return speed_; }
+    [[nodiscard]] const target_speed& speed() const { return speed_; }
     [[nodiscard]] wire::load_report load() const;
     /// An account's requests for each one that the target can take; all may come up to 1.
     [[nodiscard]] double demand_ratio(std::uint32_t priority, std::string_view account) const;
@@ -81,6 +85,7 @@
     target_announcement announced_;
     steady_time heard_;
     target_guard guard_;
+    target_speed speed_;
     std::function<void()> action_;
 };
 
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -99,8 +99,11 @@
                  ip_of(own.target_address), &pressure_}),
       dispatcher_(make_dispatcher_context(time, counters_, configuration_, members_, peers_, executor_,
                                           random_, pressure_)),
-      topics_(time, peers_),
-      limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_}),
+      topics_(time, peers_), watch_(time, settings_.host, target_,
+                                    [this](const std::string& host, const target_note& note) {
+                                        dispatcher_.note_target(host, note);
+                                    }),
+      limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_, watch_}),
       registry_({io.get_executor(), time, store, random_, members_, adapter.hosts_topic,
                  [this] { note_registry_change(); },
                  make_topic_peers(adapter.hosts_topic, hosts_proof_validity)}),
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -13,6 +13,7 @@
 #include "dandelionmount/process/platform_adapter.h"
 #include "dandelionmount/process/service_pressure.h"
 #include "dandelionmount/process/store_settings.h"
+#include "dandelionmount/process/target_watch.h"
 #include "dandelionmount/process/topic_follower.h"
 #include "dandelionmount/process/topic_sharing.h"
 #include "dandelionmount/request/dispatcher.h"
@@ -71,6 +72,7 @@
     executor executor_;
     dispatcher dispatcher_;
     topic_sharing topics_;
+    target_watch watch_;
     fleet_limiter limiter_;
     fleet_registry registry_;
     topic_follower configuration_follower_;
--- /dev/null
+++ b/src/dandelionmount/process/target_speed.cpp
@@ -0,0 +1,88 @@
+#include "dandelionmount/process/target_speed.h"
+
+#include <algorithm>
+
+namespace dandelionmount {
+
+namespace {
+
+// Weight of a new result: of frequent ones each weighs little, one after a silence of a second much, so that
+// a target that gets few requests is soon known to have recovered.
+constexpr double least_weight = 0.1;
+constexpr double most_weight = 0.6;
+constexpr double full_weight_seconds = 1;
+// Fewer runs than these tell nothing of a route.
+constexpr std::uint64_t least_runs = 5;
+// What was measured longer ago tells nothing of now.
+constexpr duration speed_life = std::chrono::seconds(10);
+
+double weight_after(steady_time last, steady_time now) {
+    const double silence = last == steady_time{} ? full_weight_seconds : to_seconds(now - last);
+    return std::clamp(silence / full_weight_seconds, least_weight, most_weight);
+}
+
+} // namespace
+
+void forget_speed(target_speed& speed) {
+    speed.failing = 0;
+    speed.last_result = steady_time{};
+    for (auto& [name, route] : speed.routes) {
+        route.run_time = 0;
+        route.runs = 0;
+    }
+}
+
+void note_run_start(target_speed& speed, std::string_view route, steady_time now) {
+    if (speed.origin == steady_time{}) {
+        speed.origin = now;
+    }
+    auto found = speed.routes.find(route);
+    if (found == speed.routes.end()) {
+        found = speed.routes.emplace(std::string(route), route_speed{}).first;
+    }
+    ++found->second.running;
+    found->second.started_sum += to_seconds(now - speed.origin);
+}
+
+void note_run_end(target_speed& speed, std::string_view route, duration took, run_result result,
+                  steady_time now) {
+    const auto found = speed.routes.find(route);
+    if (found == speed.routes.end() || found->second.running == 0) {
+        return;
+    }
+    route_speed& one = found->second;
+    --one.running;
+    one.started_sum = one.running == 0 ? 0 : one.started_sum - to_seconds(now - took - speed.origin);
+    if (result == run_result::cut) {
+        return;
+    }
+    const double failed = result == run_result::failed ? 1 : 0;
+    speed.failing += weight_after(speed.last_result, now) * (failed - speed.failing);
+    speed.last_result = now;
+    const double seconds = to_seconds(took);
+    // A failure may come fast, and an overdue request would have taken longer still.
+    if (result == run_result::failed || (result == run_result::overdue && seconds < one.run_time)) {
+        return;
+    }
+    one.run_time =
+        one.runs == 0 ? seconds : one.run_time + weight_after(one.last_end, now) * (seconds - one.run_time);
+    one.last_end = now;
+    ++one.runs;
+}
+
+std::map<std::string, double> run_times(const target_speed& speed, steady_time now) {
+    std::map<std::string, double> times;
+    for (const auto& [name, route] : speed.routes) {
+        const bool used = route.running > 0 || now - route.last_end < speed_life;
+        if (!used || route.runs < least_runs) {
+            continue;
+        }
+        const double age = route.running == 0 ? 0
+                                              : to_seconds(now - speed.origin) -
+                                                    route.started_sum / static_cast<double>(route.running);
+        times[name] = std::max(route.run_time, age);
+    }
+    return times;
+}
+
+} // namespace dandelionmount
--- /dev/null
+++ b/src/dandelionmount/process/target_speed.h
@@ -0,0 +1,48 @@
+#ifndef DANDELIONMOUNT_PROCESS_TARGET_SPEED_H
+#define DANDELIONMOUNT_PROCESS_TARGET_SPEED_H
+
+#include "dandelionmount/process/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+// How fast and how well the target of this host does its work, by what requests meet there.
+
+namespace dandelionmount {
+
+/// One route's requests at the target.
+struct route_speed {
+    /// Mean time that a request runs, in seconds; recent runs weigh most.
+    double run_time{0};
+    std::uint64_t runs{0};
+    steady_time last_end;
+    std::uint32_t running{0};
+    /// Sum of the times at which the running ones started, in seconds since `target_speed::origin`.
+    double started_sum{0};
+};
+
+struct target_speed {
+    steady_time origin;
+    std::map<std::string, route_speed, std::less<>> routes;
+    /// Share of the requests that ended in a failure of the target or a rejection, 0 to 1.
+    double failing{0};
+    steady_time last_result;
+};
+
+/// How a request ended, for the target's speed. `cut` says nothing of what the target would have answered.
+enum class run_result { answered, failed, overdue, cut };
+
+/// Forgets what was measured, as another process has taken the target's place.
+void forget_speed(target_speed& speed);
+void note_run_start(target_speed& speed, std::string_view route, steady_time now);
+void note_run_end(target_speed& speed, std::string_view route, duration took, run_result result,
+                  steady_time now);
+/// Run times in seconds of the routes that were used lately. A route at which requests hang counts with the
+/// time for which they have been running.
+[[nodiscard]] std::map<std::string, double> run_times(const target_speed& speed, steady_time now);
+
+} // namespace dandelionmount
+
+#endif
--- /dev/null
+++ b/src/dandelionmount/process/target_watch.h
@@ -0,0 +1,47 @@
+#ifndef DANDELIONMOUNT_PROCESS_TARGET_WATCH_H
+#define DANDELIONMOUNT_PROCESS_TARGET_WATCH_H
+
+#include "dandelionmount/process/local_target.h"
+#include "dandelionmount/process/target_comparison.h"
+#include "dandelionmount/wire/peer.pb.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace dandelionmount {
+
+/// Tells the hosts that divide the rates of this host's target, compares what is told there, and hands on
+/// what the comparison found. It goes with the reports that hosts make anyway.
+class target_watch {
+public:
+    using note_handler = std::function<void(const std::string& host, const target_note& note)>;
+
+    /// All outlive this; `on_note` is called for each note that arrives.
+    target_watch(const time_source& time, const std::string& host, const local_target& target,
+                 note_handler on_note)
+        : time_(time), host_(host), target_(target), on_note_(std::move(on_note)) {}
+
+    /// Writes what is known of this host's target.
+    void write_state(wire::rate_report& report) const;
+    /// Takes in what another host told of its target.
+    void read_state(const wire::rate_report& report, std::string_view host);
+    /// Writes what the comparison found.
+    void write_notes(wire::rate_grants& grants);
+    void read_notes(const wire::rate_grants& grants) const;
+
+private:
+    [[nodiscard]] target_state own_state() const;
+
+    const time_source& time_;
+    const std::string& host_;
+    const local_target& target_;
+    note_handler on_note_;
+    heard_targets heard_;
+    target_notes notes_;
+    steady_time compared_;
+};
+
+} // namespace dandelionmount
+
+#endif
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -120,6 +120,13 @@
     return reply;
 }
 
+void dispatcher::note_target(const std::string& host, const target_note& note) {
+    const auto found = workers_.find(host);
+    if (found != workers_.end()) {
+        note_comparison(found->second, note, context_.time.now());
+    }
+}
+
 void dispatcher::set_most_saved_retries(double most_saved) {
     context_.most_saved_retries = most_saved;
     for (auto& [service, budget] : budgets_) {
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -23,6 +23,7 @@
 // A call that missed its deadline after this many times the usual time was kept waiting by the target.
 constexpr int overdue_factor = 2;
 constexpr std::uint32_t service_unavailable = 503;
+constexpr std::uint32_t gateway_timeout = 504;
 constexpr std::uint32_t too_many_requests = 429;
 constexpr std::uint32_t server_errors = 500;
 
@@ -55,6 +56,19 @@
     }
 }
 
+// What the end of a call says of the target's speed.
+run_result result_of(const wire::forward_reply& reply) {
+    const reason why = reason_from_token(reply.reason());
+    const bool ran = reply.outcome() == wire::ran;
+    if (why == reason::deadline || (ran && reply.status() == gateway_timeout)) {
+        return run_result::overdue;
+    }
+    if (ran) {
+        return reply.status() < server_errors ? run_result::answered : run_result::failed;
+    }
+    return why == reason::caller_gone ? run_result::cut : run_result::failed;
+}
+
 } // namespace
 
 executor::executor(executor_context context) : context_(std::move(context)) {}
@@ -218,6 +232,7 @@
     if (context_.pressure != nullptr) {
         note_start(*context_.pressure, one->request.route());
     }
+    note_run_start(context_.target.speed(), one->request.route(), began);
     const auto& announced = context_.target.announced();
     const target_address target{{context_.target_ip, announced.port}, announced.instance};
     auto reply =
@@ -228,6 +243,7 @@
     if (context_.pressure != nullptr) {
         note_end(*context_.pressure, one->request.route(), took);
     }
+    note_run_end(context_.target.speed(), one->request.route(), took, result_of(reply), context_.time.now());
     start_waiting();
     co_return reply;
 }
--- a/src/dandelionmount/request/worker_choice.cpp
+++ b/src/dandelionmount/request/worker_choice.cpp
@@ -10,6 +10,10 @@
 constexpr duration ejection_time = std::chrono::seconds(2);
 // A report older than this says nothing about the load of now.
 constexpr duration report_life = std::chrono::seconds(1);
+// Notes come four times a second while they hold.
+constexpr duration note_life = std::chrono::milliseconds(800);
+// Part of the requests that goes to one of the workers in trouble, so that the end of it is seen.
+constexpr double probe_share = 0.01;
 constexpr duration slow_start = std::chrono::seconds(5);
 // Share of its place in line that a worker has at once when it becomes ready.
 constexpr double slow_start_floor = 0.1;
@@ -27,6 +31,10 @@
     return record.load_heard != steady_time{} && now - record.load_heard < report_life;
 }
 
+bool note_is_fresh(const worker_record& record, steady_time now) {
+    return record.note_heard != steady_time{} && now - record.note_heard < note_life;
+}
+
 double worker_limit(const wire::member_record& member, const worker_record& record, steady_time now) {
     const bool fresh = report_is_fresh(record, now) && record.load.limit() > 0;
     return std::max(1.0, static_cast<double>(fresh ? record.load.limit() : member.target_slots()));
@@ -38,9 +46,15 @@
     if (report_is_fresh(record, now)) {
         load = std::max<double>(load, record.load.in_flight()) + record.load.queued();
     }
+    double cost = 1;
+    const double limit = worker_limit(member, record, now);
+    if (note_is_fresh(record, now)) {
+        load = std::max(load, record.note.load * limit);
+        cost = cost_factor(record.note);
+    }
     const double age = to_seconds(now - record.ready_since) / to_seconds(slow_start);
     const double weight = std::clamp(age, slow_start_floor, 1.0);
-    return (load + 1) / (worker_limit(member, record, now) * weight);
+    return cost * (load + 1) / (limit * weight);
 }
 
 bool is_worker(const wire::member_record& member, std::string_view service) {
@@ -110,11 +124,30 @@
            [&](const candidate& one) { return one.member->zone() == zone && one.score < zone_short; });
 }
 
+// Seldom, one of the workers that are slow or failing; nullptr otherwise.
+const candidate* draw_probe(const std::vector<candidate>& candidates, steady_time now,
+                            std::mt19937_64& random) {
+    std::vector<const candidate*> in_trouble;
+    for (const auto& one : candidates) {
+        if (note_is_fresh(*one.record, now) && cost_factor(one.record->note) > 1) {
+            in_trouble.push_back(&one);
+        }
+    }
+    if (in_trouble.empty() || std::uniform_real_distribution<double>(0, 1)(random) >= probe_share) {
+        return nullptr;
+    }
+    return in_trouble[std::uniform_int_distribution<std::size_t>(0, in_trouble.size() - 1)(random)];
+}
+
 const candidate& draw_better_of_two(const std::vector<candidate>& candidates, std::mt19937_64& random) {
-    std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
-    const candidate& first = candidates[draw(random)];
-    const candidate& second = candidates[draw(random)];
-    return first.score <= second.score ? first : second;
+    std::uniform_int_distribution<std::size_t> draw_first(0, candidates.size() - 1);
+    const std::size_t first = draw_first(random);
+    if (candidates.size() == 1) {
+        return candidates[first];
+    }
+    std::uniform_int_distribution<std::size_t> draw_second(1, candidates.size() - 1);
+    const std::size_t second = (first + draw_second(random)) % candidates.size();
+    return candidates[first].score <= candidates[second].score ? candidates[first] : candidates[second];
 }
 
 } // namespace
@@ -128,6 +161,10 @@
     }
     filter(candidates, [](const candidate& one) { return one.record->reachable; });
     leave_out_ejected(candidates, context.now);
+    const auto* probed = draw_probe(candidates, context.now, random);
+    if (probed != nullptr) {
+        return {probed->member->host(), reason::none};
+    }
     prefer_own_zone(candidates, context.zone);
     return {draw_better_of_two(candidates, random).member->host(), reason::none};
 }
@@ -159,6 +196,11 @@
     record.load_heard = now;
 }
 
+void note_comparison(worker_record& record, const target_note& note, steady_time now) {
+    record.note = note;
+    record.note_heard = now;
+}
+
 void note_attempt_end(worker_record& record, bool good, steady_time now) {
     if (good) {
         record.failures_in_row = 0;
--- a/src/dandelionmount/request/worker_choice.h
+++ b/src/dandelionmount/request/worker_choice.h
@@ -4,6 +4,7 @@
 #include "dandelionmount/process/clock.h"
 #include "dandelionmount/process/membership.h"
 #include "dandelionmount/process/reason.h"
+#include "dandelionmount/process/target_comparison.h"
 
 #include <cstdint>
 #include <map>
@@ -22,6 +23,9 @@
     std::uint32_t in_flight{0};
     wire::load_report load;
     steady_time load_heard;
+    /// What the fleet found when it compared the worker with others of its service.
+    target_note note;
+    steady_time note_heard;
     /// When the worker was first seen ready in its present life.
     steady_time ready_since;
     std::uint64_t incarnation{0};
@@ -45,8 +49,10 @@
     reason why{reason::none};
 };
 
-/// Chooses the better of two workers drawn at random, those of the own zone first until they are short.
-/// Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
+/// Chooses the better of two workers drawn at random, by load and by how slow and failing they are beside
+/// others; those of the own zone first until they are short. A small part of the requests goes to those in
+/// trouble, so that the end of it is seen. Source: Mitzenmacher, "The Power of Two Choices in
+/// Randomized Load Balancing", 2001.
 [[nodiscard]] worker_choice choose_worker(const choice_context& context, const member_table& members,
                                           std::map<std::string, worker_record, std::less<>>& records,
                                           std::mt19937_64& random);
@@ -57,6 +63,8 @@
                                          steady_time now);
 /// Takes in a load report that came with an answer.
 void note_load(worker_record& record, const wire::load_report& load, steady_time now);
+/// Takes in what the comparison of the service's workers found.
+void note_comparison(worker_record& record, const target_note& note, steady_time now);
 /// Takes in how an attempt ended: a worker that fails several times in a row gets no work for a while.
 void note_attempt_end(worker_record& record, bool good, steady_time now);
 
--- /dev/null
+++ b/tests/process/target_speed_test.cpp
@@ -0,0 +1,76 @@
+#include "dandelionmount/process/target_speed.h"
+
+#include <doctest/doctest.h>
+
+namespace dm = dandelionmount;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct speed_fixture {
+    // Requests one after another, each of that length.
+    void run(int count, dm::duration took, dm::run_result result = dm::run_result::answered) {
+        for (int request = 0; request < count; ++request) {
+            dm::note_run_start(speed, "/read/", now);
+            now += took;
+            dm::note_run_end(speed, "/read/", took, result, now);
+        }
+    }
+    [[nodiscard]] double run_time() const { return dm::run_times(speed, now).at("/read/"); }
+
+    dm::target_speed speed;
+    dm::steady_time now{std::chrono::hours(1)};
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("process");
+
+TEST_CASE("A route's run time follows what its requests take") {
+    speed_fixture fixture;
+    fixture.run(4, milliseconds(100));
+    CHECK(dm::run_times(fixture.speed, fixture.now).empty());
+    fixture.run(30, milliseconds(100));
+    CHECK(fixture.run_time() == doctest::Approx(0.1));
+    fixture.run(10, milliseconds(1200));
+    CHECK(fixture.run_time() > 0.8);
+}
+
+TEST_CASE("A route at which requests hang counts as slow before any of them has ended") {
+    speed_fixture fixture;
+    fixture.run(30, milliseconds(100));
+    for (int request = 0; request < 5; ++request) {
+        dm::note_run_start(fixture.speed, "/read/", fixture.now);
+    }
+    fixture.now += milliseconds(900);
+    CHECK(fixture.run_time() == doctest::Approx(0.9));
+}
+
+TEST_CASE("A target that gets few requests is soon known to have recovered") {
+    speed_fixture fixture;
+    fixture.run(30, milliseconds(1200));
+    for (int request = 0; request < 4; ++request) {
+        fixture.now += seconds(1);
+        fixture.run(1, milliseconds(100));
+    }
+    CHECK(fixture.run_time() < 0.2);
+    fixture.now += seconds(11);
+    CHECK(dm::run_times(fixture.speed, fixture.now).empty());
+}
+
+TEST_CASE("Failures and requests cut short do not make a target look fast") {
+    speed_fixture fixture;
+    fixture.run(30, milliseconds(500));
+    fixture.run(20, milliseconds(1), dm::run_result::failed);
+    CHECK(fixture.speed.failing > 0.8);
+    fixture.run(20, milliseconds(1), dm::run_result::cut);
+    fixture.run(20, milliseconds(1), dm::run_result::overdue);
+    CHECK(fixture.run_time() == doctest::Approx(0.5));
+    CHECK(fixture.speed.failing < 0.2);
+    dm::forget_speed(fixture.speed);
+    CHECK(fixture.speed.failing == 0);
+    CHECK(dm::run_times(fixture.speed, fixture.now).empty());
+}
+
+TEST_SUITE_END();
--- a/tests/request/worker_choice_test.cpp
+++ b/tests/request/worker_choice_test.cpp
@@ -133,4 +133,48 @@
     CHECK(fixture.choose().why == dm::reason::none);
 }
 
+TEST_CASE(
+    "A slow worker of a large fleet gets next to nothing, though this host has nothing under way there") {
+    choice_fixture fixture;
+    for (const auto* host : {"w1", "w2", "w3"}) {
+        add_worker(fixture.members, host, "a");
+    }
+    CHECK_FALSE(fixture.choose().host.empty());
+    dm::note_comparison(fixture.records["w3"], {0.9, 12, 0}, start - std::chrono::milliseconds(100));
+    std::map<std::string, int> chosen;
+    for (int run = 0; run < 3000; ++run) {
+        ++chosen[fixture.choose().host];
+    }
+    CHECK(chosen["w3"] > 0);
+    CHECK(chosen["w3"] < 60);
+    // The note lapses when it is not repeated.
+    dm::note_comparison(fixture.records["w3"], {0.9, 12, 0}, start - std::chrono::seconds(1));
+    chosen.clear();
+    for (int run = 0; run < 3000; ++run) {
+        ++chosen[fixture.choose().host];
+    }
+    CHECK(chosen["w3"] > 800);
+}
+
+TEST_CASE("A worker that fails part of its requests gets little while others are free, and more when not") {
+    choice_fixture fixture;
+    for (const auto* host : {"w1", "w2", "w3"}) {
+        add_worker(fixture.members, host, "a");
+    }
+    CHECK_FALSE(fixture.choose().host.empty());
+    dm::note_comparison(fixture.records["w3"], {0.1, 1, 0.3}, start);
+    std::map<std::string, int> chosen;
+    for (int run = 0; run < 3000; ++run) {
+        ++chosen[fixture.choose().host];
+    }
+    CHECK(chosen["w3"] < 60);
+    fixture.records["w1"].in_flight = 9;
+    fixture.records["w2"].in_flight = 9;
+    chosen.clear();
+    for (int run = 0; run < 3000; ++run) {
+        ++chosen[fixture.choose().host];
+    }
+    CHECK(chosen["w3"] > 1500);
+}
+
 TEST_SUITE_END();
--- a/tests/system/store_test.py
+++ b/tests/system/store_test.py
@@ -56,6 +56,7 @@
     def test_a_host_that_the_store_turns_away_goes_on_by_what_other_hosts_know(self):
         self.fleet.stop()
         self.fleet = StoreFleet(f"127.{StoreTest.network}", ["front", "back", "back"], own_path=True)
+        self.addCleanup(self.fleet.stop)
         self.start()
         self.fleet.path.is_cut = True
         lost = time.monotonic()
