Take a lower limit back when it makes a target no faster, and refuse what hardly ever ends in time

A route of which over 0.7 of the runs miss their deadline is refused as cannot_finish at that target, one in ten excepted, so that it does not take the places of requests that can end. Proofs of the store: the readers' waits and the time for which a proof counts fitted badly, as a proof is as old as one read when it ends and as two when the next one does; hosts read the store beside them.

--- /dev/null
+++ b/src/dandelionmount/process/limit_trial.h
@@ -0,0 +1,41 @@
+#ifndef DANDELIONMOUNT_PROCESS_LIMIT_TRIAL_H
+#define DANDELIONMOUNT_PROCESS_LIMIT_TRIAL_H
+
+#include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/target_speed.h"
+
+#include <map>
+#include <string>
+
+// Whether late answers are a reason to give a target fewer requests at once. They are where the target slows
+// down because it has too many; a target that has turned slow by itself only does less with fewer. So a lower
+// limit is tried, and taken back when requests do not run faster under it.
+
+namespace dandelionmount {
+
+struct limit_trial {
+    /// The limit before the trial; 0 when there is none.
+    double limit_before{0};
+    std::map<std::string, double> run_times_before;
+    /// When the limit had fallen as far as a trial goes.
+    steady_time reached;
+    /// Until when late answers are no reason.
+    steady_time ignored_until;
+};
+
+/// What a late answer does to the limit.
+enum class late_action { lower, keep, restore };
+
+struct late_decision {
+    late_action what{late_action::keep};
+    /// The limit to return to, for `restore`.
+    double limit{0};
+};
+
+/// Decides on a late answer.
+[[nodiscard]] late_decision decide_on_late(limit_trial& trial, double limit, const target_speed& speed,
+                                           steady_time now);
+
+} // namespace dandelionmount
+
+#endif
--- a/src/dandelionmount/process/local_target.h
+++ b/src/dandelionmount/process/local_target.h
@@ -3,6 +3,7 @@
 
 #include "dandelionmount/process/clock.h"
 #include "dandelionmount/process/settings.h"
+#include "dandelionmount/process/limit_trial.h"
 #include "dandelionmount/process/target_guard.h"
 #include "dandelionmount/process/target_speed.h"
 #include "dandelionmount/wire/peer.pb.h"
@@ -63,6 +64,7 @@
     [[nodiscard]] bool is_ready_for(std::string_view service) const;
     [[nodiscard]] target_guard& guard() { return guard_; }
     [[nodiscard]] const target_guard& guard() const { return guard_; }
+    [[nodiscard]] limit_trial& trial() { return trial_; }
     [[nodiscard]] target_speed& speed() { return speed_; }
     [[nodiscard]] const target_speed& speed() const { return speed_; }
     [[nodiscard]] wire::load_report load() const;
@@ -86,6 +88,7 @@
     steady_time heard_;
     target_guard guard_;
     target_speed speed_;
+    limit_trial trial_;
     std::function<void()> action_;
 };
 
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -20,13 +20,14 @@
 constexpr duration upkeep_interval = std::chrono::milliseconds(125);
 constexpr int rounds_between_reports = 2;
 constexpr int rounds_of_second = 8;
-// One read of the configuration waits this long. With the interval between reports it stays below the time
-// for which a proof counts, so that the other hosts do not read.
-constexpr duration configuration_wait = std::chrono::milliseconds(700);
-// A host whose proofs are older reads the store itself; a change is then in force well within two seconds.
-constexpr duration configuration_proof_validity = std::chrono::milliseconds(1200);
+// One read of the configuration waits this long. The proof that it gives is as old when it ends, and twice as
+// old when the next one does; with the interval between reports that is below the time for which a proof
+// counts.
+constexpr duration configuration_wait = std::chrono::milliseconds(600);
+// A host whose proofs are older reads the store itself; a change is then in force within two seconds.
+constexpr duration configuration_proof_validity = std::chrono::milliseconds(1600);
 // The same for the list of hosts, whose reads wait longer.
-constexpr duration hosts_proof_validity = std::chrono::milliseconds(4000);
+constexpr duration hosts_proof_validity = std::chrono::milliseconds(7000);
 // Taken off the time within which a withdrawn key must stop, for clocks that run at different speeds.
 constexpr duration freshness_margin = std::chrono::milliseconds(500);
 // Announcements that may be missing before a target counts as gone; they may be seconds late.
--- a/src/dandelionmount/process/target_speed.cpp
+++ b/src/dandelionmount/process/target_speed.cpp
@@ -13,6 +13,8 @@
 constexpr double full_weight_seconds = 1;
 // Fewer runs than these tell nothing of a route.
 constexpr std::uint64_t least_runs = 5;
+// A deadline below this part of the run time is too short for the route.
+constexpr double short_deadline = 0.8;
 // What was measured longer ago tells nothing of now.
 constexpr duration speed_life = std::chrono::seconds(10);
 
@@ -29,6 +31,7 @@
     for (auto& [name, route] : speed.routes) {
         route.run_time = 0;
         route.runs = 0;
+        route.overdue = 0;
     }
 }
 
@@ -53,13 +56,18 @@
     route_speed& one = found->second;
     --one.running;
     one.started_sum = one.running == 0 ? 0 : one.started_sum - to_seconds(now - took - speed.origin);
-    if (result == run_result::cut) {
+    const double seconds = to_seconds(took);
+    // A deadline that was short from the start says nothing about the target.
+    const bool was_short = result == run_result::overdue && seconds < short_deadline * one.run_time;
+    if (result == run_result::cut || was_short) {
         return;
     }
+    const double overdue = result == run_result::overdue ? 1 : 0;
+    one.overdue += weight_after(one.last_result, now) * (overdue - one.overdue);
+    one.last_result = now;
     const double failed = result == run_result::failed ? 1 : 0;
     speed.failing += weight_after(speed.last_result, now) * (failed - speed.failing);
     speed.last_result = now;
-    const double seconds = to_seconds(took);
     // A failure may come fast, and an overdue request would have taken longer still.
     if (result == run_result::failed || (result == run_result::overdue && seconds < one.run_time)) {
         return;
@@ -85,4 +93,10 @@
     return times;
 }
 
+double overdue_share(const target_speed& speed, std::string_view route, steady_time now) {
+    const auto found = speed.routes.find(route);
+    const bool known = found != speed.routes.end() && now - found->second.last_result < speed_life;
+    return known ? found->second.overdue : 0;
+}
+
 } // namespace dandelionmount
--- a/src/dandelionmount/process/target_speed.h
+++ b/src/dandelionmount/process/target_speed.h
@@ -17,6 +17,9 @@
     /// Mean time that a request runs, in seconds; recent runs weigh most.
     double run_time{0};
     std::uint64_t runs{0};
+    /// Share of the runs that did not end within their deadline, 0 to 1.
+    double overdue{0};
+    steady_time last_result;
     steady_time last_end;
     std::uint32_t running{0};
     /// Sum of the times at which the running ones started, in seconds since `target_speed::origin`.
@@ -43,6 +46,9 @@
 /// time for which they have been running.
 [[nodiscard]] std::map<std::string, double> run_times(const target_speed& speed, steady_time now);
 
+/// Share of the route's runs that can't be expected to end within their deadline; 0 while little is known.
+[[nodiscard]] double overdue_share(const target_speed& speed, std::string_view route, steady_time now);
+
 } // namespace dandelionmount
 
 #endif
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -185,10 +185,24 @@
     co_return answer;
 }
 
+// Whether hardly any request of the route ends in time at this target, so that running it would only take a
+// place from others. One in ten still runs, which shows when that is over.
+bool executor::is_hopeless(std::string_view route, steady_time now) {
+    constexpr double least_overdue = 0.7;
+    constexpr std::uint64_t attempts_per_probe = 10;
+    if (overdue_share(context_.target.speed(), route, now) < least_overdue) {
+        return false;
+    }
+    return ++hopeless_attempts_ % attempts_per_probe != 0;
+}
+
 // Passes the target's guard: at once, after a wait in the queue, or not at all.
 asio::awaitable<wire::forward_reply> executor::wait_for_start(execution_pointer one, bool& started) {
     auto& guard = context_.target.guard();
     const auto now = context_.time.now();
+    if (is_hopeless(one->request.route(), now)) {
+        co_return refuse(*one, reason::cannot_finish);
+    }
     one->ticket = next_ticket_++;
     queued_request request;
     request.ticket = one->ticket;
@@ -257,7 +271,9 @@
                       (ran && (reply.status() == service_unavailable || reply.status() == too_many_requests));
     // A deadline that was short from the start says nothing about the target.
     const bool late = why == reason::deadline && took > overdue_factor * guard.usual_time;
-    if (shed || late) {
+    if (late) {
+        note_late_end(took, now);
+    } else if (shed) {
         note_end(guard, call_end::overloaded, took, now);
     } else if (ran && reply.status() < server_errors) {
         note_end(guard, call_end::answered, took, now);
@@ -269,6 +285,21 @@
     }
 }
 
+void executor::note_late_end(duration took, steady_time now) {
+    auto& guard = context_.target.guard();
+    const auto decision = decide_on_late(context_.target.trial(), guard.limit, context_.target.speed(), now);
+    if (decision.what == late_action::lower) {
+        note_end(guard, call_end::overloaded, took, now);
+        return;
+    }
+    cancel_start(guard);
+    if (decision.what == late_action::restore) {
+        log_event(log_level::info, "limit restored",
+                  {{"limit", std::to_string(guard.limit)}, {"restored", std::to_string(decision.limit)}});
+        restore_limit(guard, decision.limit);
+    }
+}
+
 void executor::start_waiting() {
     auto& guard = context_.target.guard();
     while (true) {
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -95,6 +95,9 @@
     void take_out(std::uint64_t ticket, reason why);
     /// Completes the reply and keeps it; returns it as it is sent.
     wire::forward_reply finish(const execution_pointer& one, wire::forward_reply reply);
+    [[nodiscard]] bool is_hopeless(std::string_view route, steady_time now);
+    /// Takes in a request that the target did not answer in time.
+    void note_late_end(duration took, steady_time now);
     void note_call_end(const wire::forward_reply& reply, duration took);
 
     /// An attempt that must not start any more.
@@ -108,6 +111,8 @@
     executor_context context_;
     bool draining_{false};
     std::uint64_t next_ticket_{1};
+    /// Requests of routes at which hardly any ends in time.
+    std::uint64_t hopeless_attempts_{0};
     std::map<std::string, execution_pointer, std::less<>> executions_;
     std::map<std::uint64_t, execution_pointer> waiting_;
     /// Requests that wait or run, by request id.
--- a/tests/process/target_speed_test.cpp
+++ b/tests/process/target_speed_test.cpp
@@ -67,10 +67,25 @@
     fixture.run(20, milliseconds(1), dm::run_result::cut);
     fixture.run(20, milliseconds(1), dm::run_result::overdue);
     CHECK(fixture.run_time() == doctest::Approx(0.5));
+    CHECK(dm::overdue_share(fixture.speed, "/read/", fixture.now) == 0);
+    fixture.run(20, milliseconds(500));
     CHECK(fixture.speed.failing < 0.2);
     dm::forget_speed(fixture.speed);
     CHECK(fixture.speed.failing == 0);
     CHECK(dm::run_times(fixture.speed, fixture.now).empty());
 }
 
+TEST_CASE("The share of runs that miss their deadline follows a route, and is forgotten in silence") {
+    speed_fixture fixture;
+    fixture.run(20, milliseconds(100));
+    CHECK(dm::overdue_share(fixture.speed, "/read/", fixture.now) == 0);
+    fixture.run(20, milliseconds(600), dm::run_result::overdue);
+    CHECK(dm::overdue_share(fixture.speed, "/read/", fixture.now) > 0.8);
+    CHECK(dm::overdue_share(fixture.speed, "/other/", fixture.now) == 0);
+    fixture.run(20, milliseconds(100));
+    CHECK(dm::overdue_share(fixture.speed, "/read/", fixture.now) < 0.2);
+    fixture.run(20, milliseconds(600), dm::run_result::overdue);
+    CHECK(dm::overdue_share(fixture.speed, "/read/", fixture.now + seconds(11)) == 0);
+}
+
 TEST_SUITE_END();
