--- a/src/dandelionmount/process/target_watch.cpp
+++ b/src/dandelionmount/process/target_watch.cpp
@@ -1,6 +1,9 @@
 #include "dandelionmount/process/target_watch.h"
 
+#include "dandelionmount/process/logging.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace dandelionmount {
 
@@ -59,13 +62,32 @@
     }
 }
 
+// One line when a target begins to stand out, and one when it no longer does.
+void target_watch::log_changes(const target_notes& before) const {
+    for (const auto& [host, note] : notes_) {
+        if (!before.contains(host)) {
+            log_event(log_level::info, "target stands out",
+                      {{"target_host", host},
+                       {"slowness", std::to_string(note.slowness)},
+                       {"failing", std::to_string(note.failing)},
+                       {"load", std::to_string(note.load)}});
+        }
+    }
+    for (const auto& [host, note] : before) {
+        if (!notes_.contains(host)) {
+            log_event(log_level::info, "target as others again", {{"target_host", host}});
+        }
+    }
+}
+
 void target_watch::write_notes(wire::rate_grants& grants) {
     const auto now = time_.now();
     if (now - compared_ >= comparison_interval) {
         compared_ = now;
         std::erase_if(heard_, [now](const auto& entry) { return now - entry.second.heard > forget_time; });
         heard_[host_] = {own_state(), now};
-        notes_ = compare_targets(heard_, now);
+        const target_notes before = std::exchange(notes_, compare_targets(heard_, now));
+        log_changes(before);
     }
     for (const auto& [host, note] : notes_) {
         auto* written = grants.add_targets();
--- a/src/dandelionmount/process/target_watch.h
+++ b/src/dandelionmount/process/target_watch.h
@@ -32,6 +32,7 @@
 
 private:
     [[nodiscard]] target_state own_state() const;
+    void log_changes(const target_notes& before) const;
 
     const time_source& time_;
     const std::string& host_;
