Compare targets that have not answered anything by how long their requests have been running

What hangs now counts against a target, but does not make up what is usual. A target is logged when it stands out far.

--- a/src/dandelionmount/process/target_comparison.cpp
+++ b/src/dandelionmount/process/target_comparison.cpp
@@ -32,12 +32,20 @@
     std::vector<double> failing;
 };
 
+// Over the routes at which others show what is usual.
 double slowness_of(const target_state& state, const std::map<std::string, double>& usual) {
     double sum = 0;
-    for (const auto& [route, seconds] : state.run_times) {
-        sum += (seconds + negligible_time) / (usual.at(route) + negligible_time);
+    int compared = 0;
+    for (const auto& [route, times] : state.routes) {
+        const auto found = usual.find(route);
+        if (found != usual.end()) {
+            const double seconds = std::max(times.run_time.value_or(0), times.running_for);
+            const double least = times.run_time ? 0 : 1;
+            sum += std::max(least, (seconds + negligible_time) / (found->second + negligible_time));
+            ++compared;
+        }
     }
-    return state.run_times.empty() ? 1 : sum / static_cast<double>(state.run_times.size());
+    return compared == 0 ? 1 : sum / compared;
 }
 
 bool stands_out(const target_note& note) {
@@ -55,8 +63,10 @@
     for (const auto& [host, heard] : targets) {
         if (now - heard.heard < state_life) {
             auto& measures = services[heard.state.service];
-            for (const auto& [route, seconds] : heard.state.run_times) {
-                measures.run_times[route].push_back(seconds);
+            for (const auto& [route, times] : heard.state.routes) {
+                if (times.run_time) {
+                    measures.run_times[route].push_back(*times.run_time);
+                }
             }
             measures.failing.push_back(heard.state.failing);
         }
--- a/src/dandelionmount/process/target_comparison.h
+++ b/src/dandelionmount/process/target_comparison.h
@@ -2,6 +2,7 @@
 #define DANDELIONMOUNT_PROCESS_TARGET_COMPARISON_H
 
 #include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/target_speed.h"
 
 #include <map>
 #include <string>
@@ -16,8 +17,7 @@
 /// What a host tells of its target.
 struct target_state {
     std::string service;
-    /// Run times in seconds, by route.
-    std::map<std::string, double> run_times;
+    std::map<std::string, route_times> routes;
     /// Requests at the target and in its queue, for each place.
     double load{0};
     /// Share of the requests that fail or are rejected.
--- a/src/dandelionmount/process/target_speed.cpp
+++ b/src/dandelionmount/process/target_speed.cpp
@@ -78,17 +78,23 @@
     ++one.runs;
 }
 
-std::map<std::string, double> run_times(const target_speed& speed, steady_time now) {
-    std::map<std::string, double> times;
+std::map<std::string, route_times> times_of_routes(const target_speed& speed, steady_time now) {
+    std::map<std::string, route_times> times;
     for (const auto& [name, route] : speed.routes) {
-        const bool used = route.running > 0 || now - route.last_end < speed_life;
-        if (!used || route.runs < least_runs) {
+        if (route.running == 0 && now - route.last_end >= speed_life) {
             continue;
         }
-        const double age = route.running == 0 ? 0
-                                              : to_seconds(now - speed.origin) -
-                                                    route.started_sum / static_cast<double>(route.running);
-        times[name] = std::max(route.run_time, age);
+        route_times one;
+        if (route.runs >= least_runs) {
+            one.run_time = route.run_time;
+        }
+        if (route.running > 0) {
+            one.running_for =
+                to_seconds(now - speed.origin) - route.started_sum / static_cast<double>(route.running);
+        }
+        if (one.run_time || one.running_for > 0) {
+            times[name] = one;
+        }
     }
     return times;
 }
--- a/src/dandelionmount/process/target_speed.h
+++ b/src/dandelionmount/process/target_speed.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -42,9 +43,16 @@
 void note_run_start(target_speed& speed, std::string_view route, steady_time now);
 void note_run_end(target_speed& speed, std::string_view route, duration took, run_result result,
                   steady_time now);
-/// Run times in seconds of the routes that were used lately. A route at which requests hang counts with the
-/// time for which they have been running.
-[[nodiscard]] std::map<std::string, double> run_times(const target_speed& speed, steady_time now);
+/// Times of one route in seconds.
+struct route_times {
+    /// Mean run time; nothing while too little is known.
+    std::optional<double> run_time;
+    /// Mean time for which those that run have been running: what hangs shows here before it ends.
+    double running_for{0};
+};
+
+/// Times of the routes that were used lately.
+[[nodiscard]] std::map<std::string, route_times> times_of_routes(const target_speed& speed, steady_time now);
 
 /// Share of the route's runs that can't be expected to end within their deadline; 0 while little is known.
 [[nodiscard]] double overdue_share(const target_speed& speed, std::string_view route, steady_time now);
--- a/src/dandelionmount/process/target_watch.cpp
+++ b/src/dandelionmount/process/target_watch.cpp
@@ -3,7 +3,6 @@
 #include "dandelionmount/process/logging.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace dandelionmount {
 
@@ -13,6 +12,10 @@
 constexpr duration comparison_interval = std::chrono::milliseconds(150);
 // Routes that one report names; the slowest say most.
 constexpr std::size_t most_routes = 8;
+// A target is logged when a request costs this much more there than at others, and again below the second
+// figure; targets that differ by nature stay unlogged.
+constexpr double logged_cost = 2.5;
+constexpr double usual_cost = 1.5;
 constexpr duration forget_time = std::chrono::seconds(5);
 
 } // namespace
@@ -21,7 +24,7 @@
     const auto& guard = target_.guard();
     target_state state;
     state.service = target_.announced().service;
-    state.run_times = run_times(target_.speed(), time_.now());
+    state.routes = times_of_routes(target_.speed(), time_.now());
     state.load = (static_cast<double>(guard.in_flight) + static_cast<double>(guard.queue.size())) /
                  std::max(1.0, guard.limit);
     state.failing = target_.speed().failing;
@@ -35,15 +38,19 @@
     written->set_load(static_cast<float>(state.load));
     written->set_failing(static_cast<float>(state.failing));
     std::vector<std::pair<double, std::string>> slowest;
-    for (const auto& [route, seconds] : state.run_times) {
-        slowest.emplace_back(seconds, route);
+    for (const auto& [route, times] : state.routes) {
+        slowest.emplace_back(std::max(times.run_time.value_or(0), times.running_for), route);
     }
     std::sort(slowest.rbegin(), slowest.rend());
     slowest.resize(std::min(slowest.size(), most_routes));
     for (const auto& [seconds, route] : slowest) {
+        const auto& times = state.routes.at(route);
         auto* time = written->add_routes();
         time->set_route(route);
-        time->set_seconds(static_cast<float>(seconds));
+        time->set_running_for(static_cast<float>(times.running_for));
+        if (times.run_time) {
+            time->set_run_time(static_cast<float>(*times.run_time));
+        }
     }
 }
 
@@ -56,16 +63,20 @@
     heard.state.service = report.target().service();
     heard.state.load = report.target().load();
     heard.state.failing = report.target().failing();
-    heard.state.run_times.clear();
+    heard.state.routes.clear();
     for (const auto& time : report.target().routes()) {
-        heard.state.run_times[time.route()] = time.seconds();
+        auto& times = heard.state.routes[time.route()];
+        times.running_for = time.running_for();
+        if (time.has_run_time()) {
+            times.run_time = time.run_time();
+        }
     }
 }
 
-// One line when a target begins to stand out, and one when it no longer does.
-void target_watch::log_changes(const target_notes& before) const {
+// One line when a target begins to stand out far, and one when it no longer does.
+void target_watch::log_changes() {
     for (const auto& [host, note] : notes_) {
-        if (!before.contains(host)) {
+        if (cost_factor(note) >= logged_cost && logged_.insert(host).second) {
             log_event(log_level::info, "target stands out",
                       {{"target_host", host},
                        {"slowness", std::to_string(note.slowness)},
@@ -73,11 +84,14 @@
                        {"load", std::to_string(note.load)}});
         }
     }
-    for (const auto& [host, note] : before) {
-        if (!notes_.contains(host)) {
+    std::erase_if(logged_, [this](const std::string& host) {
+        const auto found = notes_.find(host);
+        const bool over = found == notes_.end() || cost_factor(found->second) < usual_cost;
+        if (over) {
             log_event(log_level::info, "target as others again", {{"target_host", host}});
         }
-    }
+        return over;
+    });
 }
 
 void target_watch::write_notes(wire::rate_grants& grants) {
@@ -86,8 +100,8 @@
         compared_ = now;
         std::erase_if(heard_, [now](const auto& entry) { return now - entry.second.heard > forget_time; });
         heard_[host_] = {own_state(), now};
-        const target_notes before = std::exchange(notes_, compare_targets(heard_, now));
-        log_changes(before);
+        notes_ = compare_targets(heard_, now);
+        log_changes();
     }
     for (const auto& [host, note] : notes_) {
         auto* written = grants.add_targets();
--- a/src/dandelionmount/process/target_watch.h
+++ b/src/dandelionmount/process/target_watch.h
@@ -6,6 +6,7 @@
 #include "dandelionmount/wire/peer.pb.h"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -32,7 +33,7 @@
 
 private:
     [[nodiscard]] target_state own_state() const;
-    void log_changes(const target_notes& before) const;
+    void log_changes();
 
     const time_source& time_;
     const std::string& host_;
@@ -40,6 +41,8 @@
     note_handler on_note_;
     heard_targets heard_;
     target_notes notes_;
+    /// Hosts of targets that were logged as standing out.
+    std::set<std::string, std::less<>> logged_;
     steady_time compared_;
 };
 
