--- a/src/dandelionmount/process/target_comparison.cpp
+++ b/src/dandelionmount/process/target_comparison.cpp
@@ -10,8 +10,8 @@
 constexpr duration state_life = std::chrono::seconds(1);
 // Below these a target does not stand out: targets differ a little from each other by nature.
 constexpr double notable_load = 0.7;
-constexpr double notable_slowness = 1.4;
-constexpr double notable_failing = 0.08;
+constexpr double notable_slowness = 2;
+constexpr double notable_failing = 0.1;
 // Notes that fit into one answer; the worst come first.
 constexpr std::size_t most_notes = 64;
 // Added to run times before they are compared, in seconds: a few milliseconds more are no slowness.
@@ -90,6 +90,9 @@
         note.slowness = slowness_of(state, usual_times[state.service]);
         note.failing = std::max(0.0, state.failing - usual_failing[state.service]);
         if (stands_out(note)) {
+            // What does not stand out of itself is chance.
+            note.slowness = note.slowness >= notable_slowness ? note.slowness : 1;
+            note.failing = note.failing >= notable_failing ? note.failing : 0;
             found.emplace_back(host, note);
         }
     }
--- a/src/dandelionmount/process/target_speed.cpp
+++ b/src/dandelionmount/process/target_speed.cpp
@@ -6,11 +6,13 @@
 
 namespace {
 
-// Weight of a new result: of frequent ones each weighs little, one after a silence of a second much, so that
-// a target that gets few requests is soon known to have recovered.
+// Weight of a new run time: of frequent ones each weighs little, one after a silence of a second more, so
+// that a target that gets few requests is soon known to have recovered.
 constexpr double least_weight = 0.1;
-constexpr double most_weight = 0.6;
+constexpr double most_weight = 0.3;
 constexpr double full_weight_seconds = 1;
+// Weight of a new success or failure: single failures happen at any target.
+constexpr double result_weight = 0.05;
 // Fewer runs than these tell nothing of a route.
 constexpr std::uint64_t least_runs = 5;
 // A deadline below this part of the run time is too short for the route.
@@ -27,7 +29,6 @@
 
 void forget_speed(target_speed& speed) {
     speed.failing = 0;
-    speed.last_result = steady_time{};
     for (auto& [name, route] : speed.routes) {
         route.run_time = 0;
         route.runs = 0;
@@ -66,8 +67,7 @@
     one.overdue += weight_after(one.last_result, now) * (overdue - one.overdue);
     one.last_result = now;
     const double failed = result == run_result::failed ? 1 : 0;
-    speed.failing += weight_after(speed.last_result, now) * (failed - speed.failing);
-    speed.last_result = now;
+    speed.failing += result_weight * (failed - speed.failing);
     // A failure may come fast, and an overdue request would have taken longer still.
     if (result == run_result::failed || (result == run_result::overdue && seconds < one.run_time)) {
         return;
--- a/src/dandelionmount/process/target_speed.h
+++ b/src/dandelionmount/process/target_speed.h
@@ -32,7 +32,6 @@
     std::map<std::string, route_speed, std::less<>> routes;
     /// Share of the requests that ended in a failure of the target or a rejection, 0 to 1.
     double failing{0};
-    steady_time last_result;
 };
 
 /// How a request ended, for the target's speed. `cut` says nothing of what the target would have answered.
