Take a limit lowered by rejections back when fewer requests are answered under it

Each rejection took a tenth off the limit, each answer added its inverse: such a target settles at 3 to 4 requests at once whatever it can take, a tenth of what it did. Change: rejection_trial, beside the trial for late answers (late_trial). Answers are counted under the limit and under 0.6 of it; a target that has too many requests answers as many with fewer, one that rejects a part of everything answers fewer, and the limit returns. Ruled out by simulation: one criterion for both. Answers counted fall at first also where too many requests share the target, and run times say nothing of rejections.

--- a/src/dandelionmount/process/limit_trial.cpp
+++ b/src/dandelionmount/process/late_trial.cpp
@@ -1,4 +1,6 @@
-#include "dandelionmount/process/limit_trial.h"
+#include "dandelionmount/process/late_trial.h"
+
+#include <algorithm>
 
 namespace dandelionmount {
 
@@ -45,9 +47,9 @@
 
 } // namespace
 
-late_decision decide_on_late(limit_trial& trial, double limit, const target_speed& speed, steady_time now) {
+limit_decision decide_on_late(late_trial& trial, double limit, const target_speed& speed, steady_time now) {
     if (now < trial.ignored_until) {
-        return {late_action::keep, limit};
+        return {limit_action::keep, std::min(limit, trial.held_limit)};
     }
     // A limit that has recovered since makes the earlier trial meaningless.
     if (trial.limit_before == 0 || limit > trial.limit_before) {
@@ -56,25 +58,26 @@
         trial.reached = steady_time{};
     }
     if (limit > trial.limit_before * trial_depth) {
-        return {late_action::lower, limit};
+        return {limit_action::lower, limit};
     }
     if (trial.reached == steady_time{}) {
         trial.reached = now;
     }
     if (now - trial.reached < settle_time) {
-        return {late_action::keep, limit};
+        return {limit_action::keep, limit};
     }
     auto times = telling_run_times(speed, now);
     if (relative_run_time(trial.run_times_before, times) > least_effect) {
         const double before = trial.limit_before;
-        trial = limit_trial{};
+        trial = late_trial{};
         trial.ignored_until = now + ignore_time;
-        return {late_action::restore, before};
+        trial.held_limit = before;
+        return {limit_action::restore, before};
     }
     trial.limit_before = limit;
     trial.run_times_before = std::move(times);
     trial.reached = steady_time{};
-    return {late_action::lower, limit};
+    return {limit_action::lower, limit};
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/process/limit_trial.h
+++ b/src/dandelionmount/process/late_trial.h
@@ -1,7 +1,8 @@
-#ifndef DANDELIONMOUNT_PROCESS_LIMIT_TRIAL_H
-#define DANDELIONMOUNT_PROCESS_LIMIT_TRIAL_H
+#ifndef DANDELIONMOUNT_PROCESS_LATE_TRIAL_H
+#define DANDELIONMOUNT_PROCESS_LATE_TRIAL_H
 
 #include "dandelionmount/process/clock.h"
+#include "dandelionmount/process/limit_decision.h"
 #include "dandelionmount/process/target_speed.h"
 
 #include <map>
@@ -13,28 +14,20 @@
 
 namespace dandelionmount {
 
-struct limit_trial {
+struct late_trial {
     /// The limit before the trial; 0 when there is none.
     double limit_before{0};
     std::map<std::string, double> run_times_before;
     /// When the limit had fallen as far as a trial goes.
     steady_time reached;
-    /// Until when late answers are no reason.
+    /// Until when late answers are no reason, and the limit that holds as long.
     steady_time ignored_until;
-};
-
-/// What a late answer does to the limit.
-enum class late_action { lower, keep, restore };
-
-struct late_decision {
-    late_action what{late_action::keep};
-    /// The limit to return to, for `restore`.
-    double limit{0};
+    double held_limit{0};
 };
 
 /// Decides on a late answer.
-[[nodiscard]] late_decision decide_on_late(limit_trial& trial, double limit, const target_speed& speed,
-                                           steady_time now);
+[[nodiscard]] limit_decision decide_on_late(late_trial& trial, double limit, const target_speed& speed,
+                                            steady_time now);
 
 } // namespace dandelionmount
 
--- a/src/dandelionmount/process/local_target.cpp
+++ b/src/dandelionmount/process/local_target.cpp
@@ -52,7 +52,8 @@
     if (replaced) {
         forget_measurements(guard_);
         forget_speed(speed_);
-        trial_ = limit_trial{};
+        late_trial_ = late_trial{};
+        rejection_trial_ = rejection_trial{};
     }
     set_ceiling(guard_, switches_.guard ? usable_slots(announcement.slots) : unguarded_slots);
     if (changed && action_) {
--- a/src/dandelionmount/process/local_target.h
+++ b/src/dandelionmount/process/local_target.h
@@ -3,7 +3,8 @@
 
 #include "dandelionmount/process/clock.h"
 #include "dandelionmount/process/settings.h"
-#include "dandelionmount/process/limit_trial.h"
+#include "dandelionmount/process/late_trial.h"
+#include "dandelionmount/process/rejection_trial.h"
 #include "dandelionmount/process/target_guard.h"
 #include "dandelionmount/process/target_speed.h"
 #include "dandelionmount/wire/peer.pb.h"
@@ -64,7 +65,8 @@
     [[nodiscard]] bool is_ready_for(std::string_view service) const;
     [[nodiscard]] target_guard& guard() { return guard_; }
     [[nodiscard]] const target_guard& guard() const { return guard_; }
-    [[nodiscard]] limit_trial& trial() { return trial_; }
+    [[nodiscard]] late_trial& trial_of_late() { return late_trial_; }
+    [[nodiscard]] rejection_trial& trial_of_rejections() { return rejection_trial_; }
     [[nodiscard]] target_speed& speed() { return speed_; }
     [[nodiscard]] const target_speed& speed() const { return speed_; }
     [[nodiscard]] wire::load_report load() const;
@@ -88,7 +90,8 @@
     steady_time heard_;
     target_guard guard_;
     target_speed speed_;
-    limit_trial trial_;
+    late_trial late_trial_;
+    rejection_trial rejection_trial_;
     std::function<void()> action_;
 };
 
--- a/src/dandelionmount/process/target_guard.cpp
+++ b/src/dandelionmount/process/target_guard.cpp
@@ -132,8 +132,8 @@
     update_demands(guard, now);
 }
 
-void restore_limit(target_guard& guard, double limit) {
-    guard.limit = std::clamp(limit, guard.limit, std::max(guard.limit, guard.ceiling));
+void set_limit(target_guard& guard, double limit) {
+    guard.limit = std::clamp(limit, least_limit, std::max(least_limit, guard.ceiling));
 }
 
 void cancel_start(target_guard& guard) {
--- a/src/dandelionmount/process/target_guard.h
+++ b/src/dandelionmount/process/target_guard.h
@@ -57,8 +57,8 @@
 enum class call_end { answered, overloaded, failed };
 /// Takes in the end of a call.
 void note_end(target_guard& guard, call_end end, duration took, steady_time now);
-/// Raises the limit to what it was before, within the ceiling.
-void restore_limit(target_guard& guard, double limit);
+/// Sets the limit, within the ceiling.
+void set_limit(target_guard& guard, double limit);
 /// Gives a place back that was taken for a request which then did not reach the target.
 void cancel_start(target_guard& guard);
 /// Works the shares of the demand out anew when their window is over.
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -271,11 +271,14 @@
                       (ran && (reply.status() == service_unavailable || reply.status() == too_many_requests));
     // A deadline that was short from the start says nothing about the target.
     const bool late = why == reason::deadline && took > overdue_factor * guard.usual_time;
-    if (late) {
-        note_late_end(took, now);
-    } else if (shed) {
-        note_end(guard, call_end::overloaded, took, now);
+    if (shed) {
+        change_limit(decide_on_rejection(context_.target.trial_of_rejections(), guard.limit, now), took, now);
+    } else if (late) {
+        change_limit(
+            decide_on_late(context_.target.trial_of_late(), guard.limit, context_.target.speed(), now), took,
+            now);
     } else if (ran && reply.status() < server_errors) {
+        note_answered(context_.target.trial_of_rejections());
         note_end(guard, call_end::answered, took, now);
     } else if (ran || why == reason::deadline || why == reason::caller_gone) {
         // Says nothing about what the target can do.
@@ -285,19 +288,18 @@
     }
 }
 
-void executor::note_late_end(duration took, steady_time now) {
+void executor::change_limit(const limit_decision& decision, duration took, steady_time now) {
     auto& guard = context_.target.guard();
-    const auto decision = decide_on_late(context_.target.trial(), guard.limit, context_.target.speed(), now);
-    if (decision.what == late_action::lower) {
+    if (decision.what == limit_action::lower) {
         note_end(guard, call_end::overloaded, took, now);
         return;
     }
     cancel_start(guard);
-    if (decision.what == late_action::restore) {
+    if (decision.what == limit_action::restore) {
         log_event(log_level::info, "limit restored",
                   {{"limit", std::to_string(guard.limit)}, {"restored", std::to_string(decision.limit)}});
-        restore_limit(guard, decision.limit);
     }
+    set_limit(guard, decision.limit);
 }
 
 void executor::start_waiting() {
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -96,8 +96,8 @@
     /// Completes the reply and keeps it; returns it as it is sent.
     wire::forward_reply finish(const execution_pointer& one, wire::forward_reply reply);
     [[nodiscard]] bool is_hopeless(std::string_view route, steady_time now);
-    /// Takes in a request that the target did not answer in time.
-    void note_late_end(duration took, steady_time now);
+    /// Ends a request that the target rejected or did not answer in time.
+    void change_limit(const limit_decision& decision, duration took, steady_time now);
     void note_call_end(const wire::forward_reply& reply, duration took);
 
     /// An attempt that must not start any more.
