--- a/src/dandelionmount/process/target_watch.cpp
+++ b/src/dandelionmount/process/target_watch.cpp
@@ -38,6 +38,7 @@
     written->set_load(static_cast<float>(state.load));
     written->set_failing(static_cast<float>(state.failing));
     std::vector<std::pair<double, std::string>> slowest;
+    slowest.reserve(state.routes.size());
     for (const auto& [route, times] : state.routes) {
         slowest.emplace_back(std::max(times.run_time.value_or(0), times.running_for), route);
     }
