--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -56,6 +56,13 @@
     }
 }
 
+// Share of late runs from which a route counts as hopeless: well above what an overload leaves late, and
+// below all, as chance lets some requests end.
+constexpr double least_overdue = 0.7;
+// Of a hopeless route one request in so many runs: a few a second at usual rates, enough to see the end of
+// it.
+constexpr std::uint64_t attempts_per_probe = 10;
+
 // What the end of a call says of the target's speed.
 run_result result_of(const wire::forward_reply& reply) {
     const reason why = reason_from_token(reply.reason());
@@ -188,8 +195,6 @@
 // Whether hardly any request of the route ends in time at this target, so that running it would only take a
 // place from others. One in ten still runs, which shows when that is over.
 bool executor::is_hopeless(std::string_view route, steady_time now) {
-    constexpr double least_overdue = 0.7;
-    constexpr std::uint64_t attempts_per_probe = 10;
     if (overdue_share(context_.target.speed(), route, now) < least_overdue) {
         return false;
     }
--- a/src/dandelionmount/request/worker_choice.cpp
+++ b/src/dandelionmount/request/worker_choice.cpp
@@ -10,9 +10,10 @@
 constexpr duration ejection_time = std::chrono::seconds(2);
 // A report older than this says nothing about the load of now.
 constexpr duration report_life = std::chrono::seconds(1);
-// Notes come four times a second while they hold.
+// Notes come four times a second while they hold; after two that are missing one lapses.
 constexpr duration note_life = std::chrono::milliseconds(800);
-// Part of the requests that goes to one of the workers in trouble, so that the end of it is seen.
+// Part of the requests that goes to one of the workers in trouble, so that the end of it is seen: little
+// beside what a request that meets such a worker costs.
 constexpr double probe_share = 0.01;
 constexpr duration slow_start = std::chrono::seconds(5);
 // Share of its place in line that a worker has at once when it becomes ready.
