--- a/src/dandelionmount/request/worker_choice.cpp
+++ b/src/dandelionmount/request/worker_choice.cpp
@@ -20,12 +20,21 @@
 constexpr double slow_start_floor = 0.1;
 // Own-zone workers count as short above this share of their limit.
 constexpr double zone_short = 0.9;
+// An own-zone worker at which requests cost so much more counts as short, too. Below that another zone gains
+// little, and is lost first when zones are cut off from each other.
+constexpr double zone_cost = 4;
 // At most this share of a service's workers is ejected at a time.
 constexpr double most_ejected = 0.34;
 struct candidate {
     const wire::member_record* member{nullptr};
     worker_record* record{nullptr};
-    double score{0};
+    /// Load as a share of what the worker can do.
+    double load{0};
+    /// How much longer a request can be expected to take there.
+    double cost{1};
+
+    /// Lower is better.
+    [[nodiscard]] double score() const { return load * cost; }
 };
 
 bool report_is_fresh(const worker_record& record, steady_time now) {
@@ -41,21 +50,22 @@
     return std::max(1.0, static_cast<double>(fresh ? record.load.limit() : member.target_slots()));
 }
 
-// Load as a share of what the worker can do; lower is better.
-double load_score(const wire::member_record& member, const worker_record& record, steady_time now) {
+double load_share(const wire::member_record& member, const worker_record& record, steady_time now) {
     double load = record.in_flight;
     if (report_is_fresh(record, now)) {
         load = std::max<double>(load, record.load.in_flight()) + record.load.queued();
     }
-    double cost = 1;
     const double limit = worker_limit(member, record, now);
     if (note_is_fresh(record, now)) {
         load = std::max(load, record.note.load * limit);
-        cost = cost_factor(record.note);
     }
     const double age = to_seconds(now - record.ready_since) / to_seconds(slow_start);
     const double weight = std::clamp(age, slow_start_floor, 1.0);
-    return cost * (load + 1) / (limit * weight);
+    return (load + 1) / (limit * weight);
+}
+
+double known_cost(const worker_record& record, steady_time now) {
+    return note_is_fresh(record, now) ? cost_factor(record.note) : 1;
 }
 
 bool is_worker(const wire::member_record& member, std::string_view service) {
@@ -98,7 +108,8 @@
         }
         worker_record& record = records[member.host()];
         refresh_life(record, member, context.now);
-        candidates.push_back({&member, &record, load_score(member, record, context.now)});
+        candidates.push_back(
+            {&member, &record, load_share(member, record, context.now), known_cost(record, context.now)});
     };
     consider(members.self);
     const auto hosts = members.hosts_by_service.find(context.service);
@@ -121,16 +132,16 @@
 }
 
 void prefer_own_zone(std::vector<candidate>& candidates, std::string_view zone) {
-    filter(candidates,
-           [&](const candidate& one) { return one.member->zone() == zone && one.score < zone_short; });
+    filter(candidates, [&](const candidate& one) {
+        return one.member->zone() == zone && one.load < zone_short && one.cost < zone_cost;
+    });
 }
 
 // Seldom, one of the workers that are slow or failing; nullptr otherwise.
-const candidate* draw_probe(const std::vector<candidate>& candidates, steady_time now,
-                            std::mt19937_64& random) {
+const candidate* draw_probe(const std::vector<candidate>& candidates, std::mt19937_64& random) {
     std::vector<const candidate*> in_trouble;
     for (const auto& one : candidates) {
-        if (note_is_fresh(*one.record, now) && cost_factor(one.record->note) > 1) {
+        if (one.cost > 1) {
             in_trouble.push_back(&one);
         }
     }
@@ -148,7 +159,7 @@
     }
     std::uniform_int_distribution<std::size_t> draw_second(1, candidates.size() - 1);
     const std::size_t second = (first + draw_second(random)) % candidates.size();
-    return candidates[first].score <= candidates[second].score ? candidates[first] : candidates[second];
+    return candidates[first].score() <= candidates[second].score() ? candidates[first] : candidates[second];
 }
 
 } // namespace
@@ -162,7 +173,7 @@
     }
     filter(candidates, [](const candidate& one) { return one.record->reachable; });
     leave_out_ejected(candidates, context.now);
-    const auto* probed = draw_probe(candidates, context.now, random);
+    const auto* probed = draw_probe(candidates, random);
     if (probed != nullptr) {
         return {probed->member->host(), reason::none};
     }
--- a/tests/request/worker_choice_test.cpp
+++ b/tests/request/worker_choice_test.cpp
@@ -156,6 +156,25 @@
     CHECK(chosen["w3"] > 800);
 }
 
+TEST_CASE(
+    "The own zone is left for a worker that is far slower than others, not for one that is a little slower") {
+    choice_fixture fixture;
+    add_worker(fixture.members, "near", "a");
+    add_worker(fixture.members, "far", "b");
+    CHECK_FALSE(fixture.choose().host.empty());
+    fixture.records["near"].in_flight = 5;
+    dm::note_comparison(fixture.records["near"], {0.5, 2.5, 0}, start);
+    for (int run = 0; run < 50; ++run) {
+        CHECK(fixture.choose().host == "near");
+    }
+    dm::note_comparison(fixture.records["near"], {0.5, 6, 0}, start);
+    int far = 0;
+    for (int run = 0; run < 200; ++run) {
+        far += fixture.choose().host == "far" ? 1 : 0;
+    }
+    CHECK(far > 180);
+}
+
 TEST_CASE("A worker that fails part of its requests gets little while others are free, and more when not") {
     choice_fixture fixture;
     for (const auto* host : {"w1", "w2", "w3"}) {
