--- a/src/dandelionmount/process/rejection_trial.h
+++ b/src/dandelionmount/process/rejection_trial.h
@@ -4,9 +4,9 @@
 #include "dandelionmount/process/clock.h"
 #include "dandelionmount/process/limit_decision.h"
 
-// Whether late answers and rejections are a reason to give a target fewer requests at once. They are where
-// the target has too many. A target that has turned slow by itself, or rejects a part of everything, only
-// does less with fewer. So a lower limit is tried, and taken back when fewer requests are answered under it.
+// Whether rejections are a reason to give a target fewer requests at once. They are where the target has too
+// many. One that rejects a part of everything only does less with fewer. So a lower limit is tried, and taken
+// back when fewer requests are answered under it.
 
 namespace dandelionmount {
 
