Share the sections of settings files, the frames of attempts and the stand-ins' service loop

Cause: what was written for the store repeated what stood for the log: the sections of a settings file with their checks, the dispatch of forward, cancel, settle and acknowledgement frames, and the main loop of a stand-in service. Ruled out: one settings reader for both platforms (their keys differ), one dispatch for all frames (most belong to one platform). Change: settings_sections, executor::take_frame, standins/run_service; error texts, their order and the limits stay as they were. Conclusion: behaviour unchanged.

--- a/src/dandelionmount/process/settings.cpp
+++ b/src/dandelionmount/process/settings.cpp
@@ -1,8 +1,11 @@
 #include "dandelionmount/process/settings.h"
 
 #include "dandelionmount/connection/address.h"
+#include "dandelionmount/process/settings_sections.h"
 #include "dandelionmount/process/settings_values.h"
 
+#include <array>
+
 namespace dandelionmount {
 
 namespace {
@@ -13,11 +16,13 @@
 constexpr std::int64_t most_connections = 100000;
 constexpr std::int64_t most_wait_ms = 3600000;
 
+constexpr std::array<std::string_view, 6> section_names{"host", "platform", "fleet", "zone", "limits", "log"};
+
 // Reads the sections of one settings file.
 class settings_reader {
 public:
     settings_reader(const toml::table& root, std::string_view file, settings_outcome& outcome)
-        : root_(root), file_(file), errors_(outcome.errors) {}
+        : root_(root), file_(file), errors_(outcome.errors), sections_(root, file, outcome.errors) {}
 
     settings read() {
         settings value;
@@ -26,28 +31,14 @@
         read_fleet(value);
         read_zones(value);
         read_limits(value);
-        read_log(value);
-        check_sections();
+        sections_.read_log_level(value.log_level);
+        sections_.check_names(section_names);
         return value;
     }
 
 private:
-    // An absent section reads as an empty one, so that each missing key is named.
-    const toml::table& section(std::string_view name) {
-        static const toml::table empty;
-        const toml::node* node = root_.get(name);
-        if (node == nullptr) {
-            return empty;
-        }
-        if (!node->is_table()) {
-            errors_.push_back({std::string(file_), node->source().begin.line, std::string(name), "a table"});
-            return empty;
-        }
-        return *node->as_table();
-    }
-
     void read_host(settings& value) {
-        table_reader reader(section("host"), file_, "host", errors_);
+        table_reader reader = sections_.open("host");
         read_needed_text(reader, errors_, "name", value.host);
         read_needed_text(reader, errors_, "zone", value.zone);
         value.slot = static_cast<std::uint32_t>(reader.whole("slot", 0, most_slot).value_or(0));
@@ -61,13 +52,13 @@
     }
 
     void read_platform(settings& value) {
-        table_reader reader(section("platform"), file_, "platform", errors_);
+        table_reader reader = sections_.open("platform");
         read_needed_address(reader, errors_, "log_address", value.platform_address);
         reader.finish();
     }
 
     void read_fleet(settings& value) {
-        table_reader reader(section("fleet"), file_, "fleet", errors_);
+        table_reader reader = sections_.open("fleet");
         read_needed_text(reader, errors_, "secret_file", value.secret_file);
         value.seeds = reader.texts("seeds").value_or(std::vector<std::string>{});
         for (const auto& seed : value.seeds) {
@@ -101,7 +92,7 @@
 
     void read_limits(settings& value) {
         caller_limits& limits = value.limits;
-        table_reader reader(section("limits"), file_, "limits", errors_);
+        table_reader reader = sections_.open("limits");
         const auto header = reader.whole("header_bytes", 256, most_bytes);
         const auto body = reader.whole("body_bytes", 0, most_bytes);
         const auto connections = reader.whole("connections", 1, most_connections);
@@ -115,30 +106,10 @@
         limits.receive = std::chrono::milliseconds(receive.value_or(limits.receive.count()));
     }
 
-    void read_log(settings& value) {
-        table_reader reader(section("log"), file_, "log", errors_);
-        value.log_level = reader.text("level").value_or(value.log_level);
-        static const std::set<std::string_view> levels = {"debug", "info", "warning", "error"};
-        if (!levels.contains(value.log_level)) {
-            reader.report("level", "debug, info, warning or error");
-        }
-        reader.finish();
-    }
-
-    void check_sections() {
-        static const std::set<std::string_view> known = {"host", "platform", "fleet",
-                                                         "zone", "limits",   "log"};
-        for (const auto& [key, node] : root_) {
-            if (!known.contains(key.str())) {
-                errors_.push_back({std::string(file_), node.source().begin.line, std::string(key.str()),
-                                   "one of host, platform, fleet, zone, limits, log"});
-            }
-        }
-    }
-
     const toml::table& root_;
     std::string_view file_;
     std::vector<file_error>& errors_;
+    settings_sections sections_;
 };
 
 } // namespace
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -246,19 +246,10 @@
 
 void store_node::handle_frame(const wire::peer_frame& frame, const peer_name& from,
                               std::shared_ptr<frame_stream> stream) {
+    if (executor_.take_frame(frame, stream)) {
+        return;
+    }
     switch (frame.body_case()) {
-    case wire::peer_frame::kForwardRequest:
-        executor_.accept(frame.forward_request(), std::move(stream));
-        break;
-    case wire::peer_frame::kCancelRequest:
-        executor_.cancel(frame.cancel_request());
-        break;
-    case wire::peer_frame::kSettleRequest:
-        executor_.settle(frame.settle_request(), std::move(stream));
-        break;
-    case wire::peer_frame::kReplyAck:
-        executor_.acknowledge(frame.reply_ack());
-        break;
     case wire::peer_frame::kHeartbeat:
         stream->send(frame);
         break;
--- a/src/dandelionmount/process/store_settings.cpp
+++ b/src/dandelionmount/process/store_settings.cpp
@@ -1,9 +1,10 @@
 #include "dandelionmount/process/store_settings.h"
 
+#include "dandelionmount/process/settings_sections.h"
 #include "dandelionmount/process/settings_values.h"
 #include "dandelionmount/version/duration_text.h"
 
-#include <set>
+#include <array>
 
 namespace dandelionmount {
 
@@ -11,33 +12,25 @@
 
 constexpr std::int64_t most_retry_slack = 1000000;
 
+constexpr std::array<std::string_view, 4> section_names{"host", "platform", "fleet", "log"};
+
 // Reads the sections of one settings file.
 class store_settings_reader {
 public:
     store_settings_reader(const toml::table& root, std::string_view file, std::vector<file_error>& errors)
-        : root_(root), file_(file), errors_(errors) {}
+        : errors_(errors), sections_(root, file, errors) {}
 
     store_settings read() {
         store_settings value;
         read_host(value);
         read_platform(value);
         read_fleet(value);
-        read_log(value);
-        check_sections();
+        sections_.read_log_level(value.log_level);
+        sections_.check_names(section_names);
         return value;
     }
 
 private:
-    const toml::table& section(std::string_view name) {
-        static const toml::table empty;
-        const auto* table = root_.get_as<toml::table>(name);
-        if (table == nullptr && root_.contains(name)) {
-            errors_.push_back(
-                {std::string(file_), root_.get(name)->source().begin.line, std::string(name), "a table"});
-        }
-        return table == nullptr ? empty : *table;
-    }
-
     static void take_duration(table_reader& reader, std::string_view key, std::chrono::milliseconds& target) {
         const auto text = reader.text(key);
         const auto value = text ? read_duration(*text) : std::nullopt;
@@ -49,7 +42,7 @@
     }
 
     void read_host(store_settings& value) {
-        table_reader reader(section("host"), file_, "host", errors_);
+        table_reader reader = sections_.open("host");
         read_needed_text(reader, errors_, "name", value.host);
         read_needed_text(reader, errors_, "zone", value.zone);
         read_needed_text(reader, errors_, "service", value.service);
@@ -65,13 +58,13 @@
     }
 
     void read_platform(store_settings& value) {
-        table_reader reader(section("platform"), file_, "platform", errors_);
+        table_reader reader = sections_.open("platform");
         read_needed_address(reader, errors_, "store_address", value.store_address);
         reader.finish();
     }
 
     void read_fleet(store_settings& value) {
-        table_reader reader(section("fleet"), file_, "fleet", errors_);
+        table_reader reader = sections_.open("fleet");
         take_duration(reader, "key_withdrawal", value.key_withdrawal);
         value.retry_share = reader.number("retry_share", 0, 1).value_or(value.retry_share);
         const auto slack = reader.number("retry_slack", 0, most_retry_slack);
@@ -79,29 +72,8 @@
         reader.finish();
     }
 
-    void read_log(store_settings& value) {
-        table_reader reader(section("log"), file_, "log", errors_);
-        value.log_level = reader.text("level").value_or(value.log_level);
-        static const std::set<std::string_view> levels = {"debug", "info", "warning", "error"};
-        if (!levels.contains(value.log_level)) {
-            reader.report("level", "debug, info, warning or error");
-        }
-        reader.finish();
-    }
-
-    void check_sections() {
-        static const std::set<std::string_view> known = {"host", "platform", "fleet", "log"};
-        for (const auto& [key, node] : root_) {
-            if (!known.contains(key.str())) {
-                errors_.push_back({std::string(file_), node.source().begin.line, std::string(key.str()),
-                                   "one of host, platform, fleet, log"});
-            }
-        }
-    }
-
-    const toml::table& root_;
-    std::string_view file_;
     std::vector<file_error>& errors_;
+    settings_sections sections_;
 };
 
 } // namespace
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -371,6 +371,25 @@
     }
 }
 
+bool executor::take_frame(const wire::peer_frame& frame, const std::shared_ptr<frame_stream>& stream) {
+    switch (frame.body_case()) {
+    case wire::peer_frame::kForwardRequest:
+        accept(frame.forward_request(), stream);
+        return true;
+    case wire::peer_frame::kCancelRequest:
+        cancel(frame.cancel_request());
+        return true;
+    case wire::peer_frame::kSettleRequest:
+        settle(frame.settle_request(), stream);
+        return true;
+    case wire::peer_frame::kReplyAck:
+        acknowledge(frame.reply_ack());
+        return true;
+    default:
+        return false;
+    }
+}
+
 void executor::acknowledge(const wire::reply_ack& ack) {
     const auto found = executions_.find(forward_key(ack.id(), ack.attempt()));
     if (found != executions_.end() && found->second->now == execution::phase::finished) {
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -65,6 +65,8 @@
 
     explicit executor(executor_context context);
 
+    /// Takes a frame of another host that has to do with attempts; false for any other frame.
+    [[nodiscard]] bool take_frame(const wire::peer_frame& frame, const std::shared_ptr<frame_stream>& stream);
     /// Runs a request that another host sent, and replies on the stream.
     void accept(const wire::forward_request& request, std::shared_ptr<frame_stream> stream);
     /// Runs a request that entered at this host.
--- a/standins/standin_log.cpp
+++ b/standins/standin_log.cpp
@@ -4,14 +4,12 @@
 // answer off, "none" ends them; "retention" keeps only `records`.
 
 #include "dandelionmount/connection/async_event.h"
-#include "dandelionmount/connection/http_server.h"
 #include "dandelionmount/process/clock.h"
 #include "standins/log_store.h"
+#include "standins/run_service.h"
 
-#include <boost/asio/io_context.hpp>
 #include <charconv>
 #include <gflags/gflags.h>
-#include <iostream>
 #include <nlohmann/json.hpp>
 
 DEFINE_string(address, "127.0.0.1:9100", "where to listen");
@@ -25,8 +23,8 @@
 constexpr unsigned ok = 200;
 constexpr unsigned bad = 400;
 constexpr unsigned down = 503;
+constexpr std::uint32_t most_body_bytes = 64U * 1024 * 1024;
 constexpr std::size_t records_of_answer = 500;
-constexpr std::size_t most_body = 64UL * 1024 * 1024;
 
 std::uint64_t query_number(std::string_view target, std::string_view name) {
     const std::string key = std::string(name) + "=";
@@ -115,20 +113,8 @@
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     asio::io_context io(1);
-    dandelionmount::metrics counters;
-    dandelionmount::caller_limits limits;
-    limits.body_bytes = most_body;
     log_service service(io.get_executor());
-    dandelionmount::http_server server(
-        io.get_executor(), limits, counters,
-        [&](dandelionmount::http_request request, std::shared_ptr<dandelionmount::cancel_token>) {
-            return service.answer(std::move(request));
-        });
-    const auto opened = server.listen(FLAGS_address);
-    if (!opened) {
-        std::cerr << opened.error().message << "\n";
-        return 1;
-    }
-    io.run();
-    return 0;
+    return standins::run_service(
+        io, FLAGS_address, most_body_bytes,
+        [&service](dandelionmount::http_request request) { return service.answer(std::move(request)); });
 }
--- a/standins/standin_store.cpp
+++ b/standins/standin_store.cpp
@@ -5,14 +5,12 @@
 // cuts the answer off, "none" ends them; "trim" drops the history once.
 
 #include "dandelionmount/connection/async_event.h"
-#include "dandelionmount/connection/http_server.h"
 #include "dandelionmount/process/clock.h"
+#include "standins/run_service.h"
 #include "standins/topic_store.h"
 
-#include <boost/asio/io_context.hpp>
 #include <charconv>
 #include <gflags/gflags.h>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -29,7 +27,7 @@
 constexpr unsigned gone = 410;
 constexpr unsigned condition_failed = 412;
 constexpr unsigned down = 503;
-constexpr std::size_t most_body = 4UL * 1024 * 1024;
+constexpr std::uint32_t most_body_bytes = 4U * 1024 * 1024;
 constexpr std::size_t offset_bytes = 8;
 constexpr unsigned bits_of_byte = 8;
 
@@ -172,19 +170,8 @@
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     asio::io_context io(1);
-    dm::metrics counters;
-    dm::caller_limits limits;
-    limits.body_bytes = most_body;
     store_service service(io.get_executor());
-    dm::http_server server(io.get_executor(), limits, counters,
-                           [&](dm::http_request request, std::shared_ptr<dm::cancel_token>) {
-                               return service.answer(std::move(request));
-                           });
-    const auto opened = server.listen(FLAGS_address);
-    if (!opened) {
-        std::cerr << opened.error().message << "\n";
-        return 1;
-    }
-    io.run();
-    return 0;
+    return standins::run_service(
+        io, FLAGS_address, most_body_bytes,
+        [&service](dandelionmount::http_request request) { return service.answer(std::move(request)); });
 }
