Write once what both limit trials and the comparison of targets repeated

Cause: both trials kept the same hold after a restored limit; the test of the trials applied their decisions by a copy of the executor's code, and so could not see a fault there; the comparison looked at the age of each report twice and gathered by service twice; the limiter asked whether a host is in touch in two places, the follower whether it relies on others.

--- a/src/dandelionmount/process/fleet_limiter.cpp
+++ b/src/dandelionmount/process/fleet_limiter.cpp
@@ -62,10 +62,13 @@
     return {account.rate, account.burst, fleet_size()};
 }
 
+bool fleet_limiter::is_in_touch(std::string_view account, steady_time now) const {
+    return dividers_[group_of(account)].in_touch_until > now;
+}
+
 bool fleet_limiter::take_token(const account_settings& account) {
     const auto now = context_.time.now_with_suspension();
-    const bool in_touch = dividers_[group_of(account.name)].in_touch_until > now;
-    return spend(stocks_[account.name], share_of(account), in_touch, now);
+    return spend(stocks_[account.name], share_of(account), is_in_touch(account.name, now), now);
 }
 
 asio::awaitable<bool> fleet_limiter::admit(std::string account) {
@@ -93,9 +96,7 @@
 void fleet_limiter::give_back(std::string_view account) {
     const auto found = stocks_.find(account);
     if (found != stocks_.end()) {
-        const bool in_touch =
-            dividers_[group_of(account)].in_touch_until > context_.time.now_with_suspension();
-        return_token(found->second, in_touch);
+        return_token(found->second, is_in_touch(account, context_.time.now_with_suspension()));
     }
 }
 
--- a/src/dandelionmount/process/fleet_limiter.h
+++ b/src/dandelionmount/process/fleet_limiter.h
@@ -66,6 +66,8 @@
     [[nodiscard]] std::size_t group_of(std::string_view account) const;
     [[nodiscard]] std::size_t fleet_size() const { return context_.members.others.size() + 1; }
     void choose_dividers();
+    /// Whether the host that keeps the account's bucket counts as in touch.
+    [[nodiscard]] bool is_in_touch(std::string_view account, steady_time now) const;
     bool take_token(const account_settings& account);
     boost::asio::awaitable<void> report_to(std::size_t group, std::string urgent_account);
     [[nodiscard]] wire::rate_report make_report(std::size_t group, std::string_view urgent_account);
--- a/src/dandelionmount/process/late_trial.cpp
+++ b/src/dandelionmount/process/late_trial.cpp
@@ -6,15 +6,13 @@
 
 namespace {
 
-// How far the limit falls before its effect is looked at.
-constexpr double trial_depth = 0.6;
 // Requests that started before have ended after this time, or count as slow anyway.
 constexpr duration settle_time = std::chrono::seconds(1);
 // A target that is slow because of too many requests runs them faster in proportion; less than this is no
 // effect.
 constexpr double least_effect = 0.85;
 // How long a trial without effect counts.
-constexpr duration ignore_time = std::chrono::seconds(10);
+constexpr duration hold_time = std::chrono::seconds(10);
 
 // A route of which more requests than this miss their deadline tells nothing: runs that are cut look faster
 // than they are.
@@ -48,8 +46,8 @@
 } // namespace
 
 limit_decision decide_on_late(late_trial& trial, double limit, const target_speed& speed, steady_time now) {
-    if (now < trial.ignored_until) {
-        return {limit_action::keep, std::min(limit, trial.held_limit)};
+    if (now < trial.held.until) {
+        return {limit_action::keep, std::min(limit, trial.held.limit)};
     }
     // A limit that has recovered since makes the earlier trial meaningless.
     if (trial.limit_before == 0 || limit > trial.limit_before) {
@@ -70,9 +68,7 @@
     if (relative_run_time(trial.run_times_before, times) > least_effect) {
         const double before = trial.limit_before;
         trial = late_trial{};
-        trial.ignored_until = now + ignore_time;
-        trial.held_limit = before;
-        return {limit_action::restore, before};
+        return restore_limit(trial.held, before, now, hold_time);
     }
     trial.limit_before = limit;
     trial.run_times_before = std::move(times);
--- a/src/dandelionmount/process/late_trial.h
+++ b/src/dandelionmount/process/late_trial.h
@@ -20,9 +20,8 @@
     std::map<std::string, double> run_times_before;
     /// When the limit had fallen as far as a trial goes.
     steady_time reached;
-    /// Until when late answers are no reason, and the limit that holds as long.
-    steady_time ignored_until;
-    double held_limit{0};
+    /// While it holds, late answers are no reason.
+    held_limit held;
 };
 
 /// Decides on a late answer.
--- a/src/dandelionmount/process/rejection_trial.cpp
+++ b/src/dandelionmount/process/rejection_trial.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// How far the limit falls before its effect is looked at.
-constexpr double trial_depth = 0.6;
 // A limit that has grown by so much without a rejection shows that the target takes more now.
 constexpr double recovered = 1.25;
 // How long answers are counted before and after; shorter counts are chance.
@@ -17,7 +15,7 @@
 // A target that has too many requests answers as many with fewer; one that has not, `trial_depth` of them.
 constexpr double least_kept = 0.8;
 // How long a trial without effect counts.
-constexpr duration ignore_time = std::chrono::seconds(5);
+constexpr duration hold_time = std::chrono::seconds(5);
 
 void start_count(rejection_trial& trial, steady_time now) {
     trial.counted_since = now;
@@ -35,8 +33,8 @@
 }
 
 limit_decision decide_on_rejection(rejection_trial& trial, double limit, steady_time now) {
-    if (now < trial.ignored_until) {
-        return {limit_action::keep, std::min(limit, trial.held_limit)};
+    if (now < trial.held.until) {
+        return {limit_action::keep, std::min(limit, trial.held.limit)};
     }
     // A limit that has recovered since makes the earlier trial meaningless.
     if (trial.limit_before == 0 || limit > trial.limit_before * recovered) {
@@ -69,9 +67,7 @@
     const bool helped = rate >= trial.rate_before * least_kept;
     trial = rejection_trial{};
     if (!helped) {
-        trial.ignored_until = now + ignore_time;
-        trial.held_limit = before;
-        return {limit_action::restore, before};
+        return restore_limit(trial.held, before, now, hold_time);
     }
     trial.limit_before = limit;
     trial.rate_before = rate;
--- a/src/dandelionmount/process/rejection_trial.h
+++ b/src/dandelionmount/process/rejection_trial.h
@@ -20,9 +20,8 @@
     /// Since when answers are counted, and how many there were.
     steady_time counted_since;
     double answered{0};
-    /// Until when rejections are no reason, and the limit that holds as long.
-    steady_time ignored_until;
-    double held_limit{0};
+    /// While it holds, rejections are no reason.
+    held_limit held;
 };
 
 /// Counts a request that was answered in time.
--- a/src/dandelionmount/process/target_comparison.cpp
+++ b/src/dandelionmount/process/target_comparison.cpp
@@ -1,6 +1,8 @@
 #include "dandelionmount/process/target_comparison.h"
 
 #include <algorithm>
+#include <span>
+#include <string_view>
 
 namespace dandelionmount {
 
@@ -19,6 +21,8 @@
 // A request that fails costs its caller about this many times what one takes: it is made again, or lost.
 constexpr double failure_cost = 10;
 
+using heard_entry = heard_targets::value_type;
+
 // What a quarter of the values do not exceed: the better targets, also where many of them are in trouble.
 double lower_quartile(std::vector<double> values) {
     const auto place = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 4);
@@ -26,11 +30,31 @@
     return *place;
 }
 
-// The measures of one service's targets.
-struct service_measures {
+// What is usual at one service's targets.
+struct usual_measures {
+    std::map<std::string, double> run_times;
+    double failing{0};
+};
+
+usual_measures find_usual(std::span<const heard_entry* const> targets) {
     std::map<std::string, std::vector<double>> run_times;
     std::vector<double> failing;
-};
+    for (const auto* target : targets) {
+        const auto& state = target->second.state;
+        for (const auto& [route, times] : state.routes) {
+            if (times.run_time) {
+                run_times[route].push_back(*times.run_time);
+            }
+        }
+        failing.push_back(state.failing);
+    }
+    usual_measures usual;
+    for (auto& [route, values] : run_times) {
+        usual.run_times[route] = lower_quartile(std::move(values));
+    }
+    usual.failing = lower_quartile(std::move(failing));
+    return usual;
+}
 
 // Over the routes at which others show what is usual.
 double slowness_of(const target_state& state, const std::map<std::string, double>& usual) {
@@ -39,17 +63,24 @@
     for (const auto& [route, times] : state.routes) {
         const auto found = usual.find(route);
         if (found != usual.end()) {
-            const double seconds = std::max(times.run_time.value_or(0), times.running_for);
             const double least = times.run_time ? 0 : 1;
-            sum += std::max(least, (seconds + negligible_time) / (found->second + negligible_time));
+            sum += std::max(least, (times.longest() + negligible_time) / (found->second + negligible_time));
             ++compared;
         }
     }
     return compared == 0 ? 1 : sum / compared;
 }
 
+// What does not stand out of itself is chance, and left out.
+target_note note_on(const target_state& state, const usual_measures& usual) {
+    const double slowness = slowness_of(state, usual.run_times);
+    const double failing = state.failing - usual.failing;
+    return {state.load, slowness >= notable_slowness ? slowness : 1,
+            failing >= notable_failing ? failing : 0};
+}
+
 bool stands_out(const target_note& note) {
-    return note.load >= notable_load || note.slowness >= notable_slowness || note.failing >= notable_failing;
+    return note.load >= notable_load || cost_factor(note) > 1;
 }
 
 } // namespace
@@ -59,45 +90,26 @@
 }
 
 target_notes compare_targets(const heard_targets& targets, steady_time now) {
-    std::map<std::string, service_measures> services;
-    for (const auto& [host, heard] : targets) {
-        if (now - heard.heard < state_life) {
-            auto& measures = services[heard.state.service];
-            for (const auto& [route, times] : heard.state.routes) {
-                if (times.run_time) {
-                    measures.run_times[route].push_back(*times.run_time);
-                }
-            }
-            measures.failing.push_back(heard.state.failing);
+    std::map<std::string_view, std::vector<const heard_entry*>> services;
+    for (const auto& target : targets) {
+        if (now - target.second.heard < state_life) {
+            services[target.second.state.service].push_back(&target);
         }
     }
-    std::map<std::string, std::map<std::string, double>> usual_times;
-    std::map<std::string, double> usual_failing;
-    for (auto& [service, measures] : services) {
-        for (auto& [route, values] : measures.run_times) {
-            usual_times[service][route] = lower_quartile(std::move(values));
-        }
-        usual_failing[service] = lower_quartile(std::move(measures.failing));
-    }
     std::vector<std::pair<std::string, target_note>> found;
-    for (const auto& [host, heard] : targets) {
-        if (now - heard.heard >= state_life) {
-            continue;
-        }
-        const auto& state = heard.state;
-        target_note note;
-        note.load = state.load;
-        note.slowness = slowness_of(state, usual_times[state.service]);
-        note.failing = std::max(0.0, state.failing - usual_failing[state.service]);
-        if (stands_out(note)) {
-            // What does not stand out of itself is chance.
-            note.slowness = note.slowness >= notable_slowness ? note.slowness : 1;
-            note.failing = note.failing >= notable_failing ? note.failing : 0;
-            found.emplace_back(host, note);
+    for (const auto& [service, members] : services) {
+        const usual_measures usual = find_usual(members);
+        for (const auto* target : members) {
+            const auto note = note_on(target->second.state, usual);
+            if (stands_out(note)) {
+                found.emplace_back(target->first, note);
+            }
         }
     }
-    std::stable_sort(found.begin(), found.end(), [](const auto& left, const auto& right) {
-        return cost_factor(left.second) * left.second.load > cost_factor(right.second) * right.second.load;
+    std::sort(found.begin(), found.end(), [](const auto& left, const auto& right) {
+        const double left_cost = cost_factor(left.second) * left.second.load;
+        const double right_cost = cost_factor(right.second) * right.second.load;
+        return left_cost != right_cost ? left_cost > right_cost : left.first < right.first;
     });
     found.resize(std::min(found.size(), most_notes));
     return {found.begin(), found.end()};
--- a/src/dandelionmount/process/target_speed.h
+++ b/src/dandelionmount/process/target_speed.h
@@ -3,6 +3,7 @@
 
 #include "dandelionmount/process/clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -42,12 +43,16 @@
 void note_run_start(target_speed& speed, std::string_view route, steady_time now);
 void note_run_end(target_speed& speed, std::string_view route, duration took, run_result result,
                   steady_time now);
+
 /// Times of one route in seconds.
 struct route_times {
     /// Mean run time; nothing while too little is known.
     std::optional<double> run_time;
     /// Mean time for which those that run have been running: what hangs shows here before it ends.
     double running_for{0};
+
+    /// What a request can be expected to take at least.
+    [[nodiscard]] double longest() const { return std::max(run_time.value_or(0), running_for); }
 };
 
 /// Times of the routes that were used lately.
--- a/src/dandelionmount/process/target_watch.cpp
+++ b/src/dandelionmount/process/target_watch.cpp
@@ -40,7 +40,7 @@
     std::vector<std::pair<double, std::string>> slowest;
     slowest.reserve(state.routes.size());
     for (const auto& [route, times] : state.routes) {
-        slowest.emplace_back(std::max(times.run_time.value_or(0), times.running_for), route);
+        slowest.emplace_back(times.longest(), route);
     }
     std::sort(slowest.rbegin(), slowest.rend());
     slowest.resize(std::min(slowest.size(), most_routes));
--- a/src/dandelionmount/process/topic_follower.cpp
+++ b/src/dandelionmount/process/topic_follower.cpp
@@ -73,10 +73,13 @@
     return std::vector<keyed_record>(recent_.end() - count, recent_.end());
 }
 
+bool topic_follower::relies_on_peers() const {
+    return context_.peers && !context_.peers->reads_store();
+}
+
 bool topic_follower::may_rest() const {
-    const bool proven = proven_ && context_.peers &&
-                        context_.time.now_with_suspension() - *proven_ < context_.peers->proof_validity;
-    return proven && !whole_ && !is_behind_peers() && !context_.peers->reads_store();
+    return relies_on_peers() && !whole_ && !is_behind_peers() && proven_ &&
+           context_.time.now_with_suspension() - *proven_ < context_.peers->proof_validity;
 }
 
 // Ends when another host has read more, or when the proofs have become too old.
@@ -132,7 +135,7 @@
             co_await rest();
             continue;
         }
-        if (is_behind_peers() && context_.peers && !context_.peers->reads_store()) {
+        if (is_behind_peers() && relies_on_peers()) {
             const bool taken = co_await read_from_peer();
             if (taken) {
                 continue;
--- a/src/dandelionmount/process/topic_follower.h
+++ b/src/dandelionmount/process/topic_follower.h
@@ -75,6 +75,8 @@
 private:
     boost::asio::awaitable<void> run();
     [[nodiscard]] bool is_behind_peers() const { return !whole_ && peers_next_ > next_; }
+    /// Whether other hosts read the store for this one.
+    [[nodiscard]] bool relies_on_peers() const;
     [[nodiscard]] bool may_rest() const;
     boost::asio::awaitable<void> rest();
     boost::asio::awaitable<bool> read_from_peer();
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -277,9 +277,10 @@
     // A deadline that was short from the start says nothing about the target.
     const bool late = why == reason::deadline && took > overdue_factor * guard.usual_time;
     if (shed) {
-        change_limit(decide_on_rejection(context_.target.trial_of_rejections(), guard.limit, now), took, now);
+        end_pushed_back(decide_on_rejection(context_.target.trial_of_rejections(), guard.limit, now), took,
+                        now);
     } else if (late) {
-        change_limit(
+        end_pushed_back(
             decide_on_late(context_.target.trial_of_late(), guard.limit, context_.target.speed(), now), took,
             now);
     } else if (ran && reply.status() < server_errors) {
@@ -293,18 +294,13 @@
     }
 }
 
-void executor::change_limit(const limit_decision& decision, duration took, steady_time now) {
+void executor::end_pushed_back(const limit_decision& decision, duration took, steady_time now) {
     auto& guard = context_.target.guard();
-    if (decision.what == limit_action::lower) {
-        note_end(guard, call_end::overloaded, took, now);
-        return;
-    }
-    cancel_start(guard);
     if (decision.what == limit_action::restore) {
         log_event(log_level::info, "limit restored",
                   {{"limit", std::to_string(guard.limit)}, {"restored", std::to_string(decision.limit)}});
     }
-    set_limit(guard, decision.limit);
+    dandelionmount::end_pushed_back(guard, decision, took, now);
 }
 
 void executor::start_waiting() {
--- a/tests/process/limit_trials_test.cpp
+++ b/tests/process/limit_trials_test.cpp
@@ -45,16 +45,7 @@
 
     void reject(const std::string& route, dm::duration took) {
         dm::note_run_end(speed, route, took, dm::run_result::failed, now);
-        change_limit(dm::decide_on_rejection(rejections, guard.limit, now), took);
-    }
-
-    void change_limit(const dm::limit_decision& decision, dm::duration took) {
-        if (decision.what == dm::limit_action::lower) {
-            dm::note_end(guard, dm::call_end::overloaded, took, now);
-            return;
-        }
-        dm::cancel_start(guard);
-        dm::set_limit(guard, decision.limit);
+        dm::end_pushed_back(guard, dm::decide_on_rejection(rejections, guard.limit, now), took, now);
     }
 
     // Whether the request has ended, by its work or its deadline.
@@ -63,7 +54,7 @@
         const auto took = now - one.began;
         if (took >= deadline) {
             dm::note_run_end(speed, one.route, took, dm::run_result::overdue, now);
-            change_limit(dm::decide_on_late(late, guard.limit, speed, now), took);
+            dm::end_pushed_back(guard, dm::decide_on_late(late, guard.limit, speed, now), took, now);
             return true;
         }
         if (one.work_left > dm::duration{0}) {
--- a/tests/request/worker_choice_test.cpp
+++ b/tests/request/worker_choice_test.cpp
@@ -31,6 +31,14 @@
     dm::worker_choice choose() {
         return dm::choose_worker({"store", "a", excluded, start}, members, records, random);
     }
+    // How often each host is chosen.
+    std::map<std::string, int> choose_often(int times) {
+        std::map<std::string, int> chosen;
+        for (int run = 0; run < times; ++run) {
+            ++chosen[choose().host];
+        }
+        return chosen;
+    }
 };
 
 } // namespace
@@ -141,18 +149,12 @@
     }
     CHECK_FALSE(fixture.choose().host.empty());
     dm::note_comparison(fixture.records["w3"], {0.9, 12, 0}, start - std::chrono::milliseconds(100));
-    std::map<std::string, int> chosen;
-    for (int run = 0; run < 3000; ++run) {
-        ++chosen[fixture.choose().host];
-    }
+    auto chosen = fixture.choose_often(3000);
     CHECK(chosen["w3"] > 0);
     CHECK(chosen["w3"] < 60);
     // The note lapses when it is not repeated.
     dm::note_comparison(fixture.records["w3"], {0.9, 12, 0}, start - std::chrono::seconds(1));
-    chosen.clear();
-    for (int run = 0; run < 3000; ++run) {
-        ++chosen[fixture.choose().host];
-    }
+    chosen = fixture.choose_often(3000);
     CHECK(chosen["w3"] > 800);
 }
 
@@ -168,11 +170,7 @@
         CHECK(fixture.choose().host == "near");
     }
     dm::note_comparison(fixture.records["near"], {0.5, 6, 0}, start);
-    int far = 0;
-    for (int run = 0; run < 200; ++run) {
-        far += fixture.choose().host == "far" ? 1 : 0;
-    }
-    CHECK(far > 180);
+    CHECK(fixture.choose_often(200)["far"] > 180);
 }
 
 TEST_CASE("A worker that fails part of its requests gets little while others are free, and more when not") {
@@ -182,17 +180,11 @@
     }
     CHECK_FALSE(fixture.choose().host.empty());
     dm::note_comparison(fixture.records["w3"], {0.1, 1, 0.3}, start);
-    std::map<std::string, int> chosen;
-    for (int run = 0; run < 3000; ++run) {
-        ++chosen[fixture.choose().host];
-    }
+    auto chosen = fixture.choose_often(3000);
     CHECK(chosen["w3"] < 60);
     fixture.records["w1"].in_flight = 9;
     fixture.records["w2"].in_flight = 9;
-    chosen.clear();
-    for (int run = 0; run < 3000; ++run) {
-        ++chosen[fixture.choose().host];
-    }
+    chosen = fixture.choose_often(3000);
     CHECK(chosen["w3"] > 1500);
 }
 
