Let the node name the hosts that have not confirmed a change, in place of two calls of the tool

Cause: while dandelionctl apply waited, it called change and status in turn and worked out from the status who is behind, by a rule that the node had written a second time; the two compared with different offsets. A test stopped its fleet to start another one. Ruled out: waiting inside the node's answer (one stuck host would hold the operators' port). Change: change answers with the hosts that have not confirmed and asks them; the tool polls that alone. The test of a host turned away has a fleet of its own from the start, its assertions as they were. Conclusion: the tool's output is unchanged.

--- a/src/dandelionctl/commands.cpp
+++ b/src/dandelionctl/commands.cpp
@@ -49,7 +49,6 @@
     void print(const Json::Value& value, const std::string& text) const;
     std::optional<dandelionmount::configuration> read_files();
     exit_code wait_for_change(const std::string& change_id);
-    std::vector<std::string> hosts_behind(const Json::Value& status) const;
     exit_code wait_in_force(Json::Value outcome, const std::string& change_id);
 
     const words& arguments_;
@@ -206,34 +205,17 @@
     return exit_code::undecided;
 }
 
-std::vector<std::string> command::hosts_behind(const Json::Value& status) const {
-    std::vector<std::string> behind;
-    for (const auto& member : status["members"]) {
-        const bool own = member["host"] == status["host"];
-        const bool alive = member["state"].asString() == "alive";
-        if (alive && !own && member["next_offset"].asUInt64() < status["version"].asUInt64()) {
-            behind.push_back(member["zone"].asString() + "/" + member["host"].asString());
-        }
-    }
-    return behind;
-}
-
 exit_code command::wait_in_force(Json::Value outcome, const std::string& change_id) {
     Json::Value parameters;
     parameters["change_id"] = change_id;
     const auto until = steady_clock::now() + std::chrono::milliseconds(options_.wait_ms);
-    std::vector<std::string> behind = hosts_behind(call("status"));
-    while (!behind.empty() && steady_clock::now() < until) {
+    while (!outcome["not_confirmed"].empty() && steady_clock::now() < until) {
         std::this_thread::sleep_for(poll_pause);
-        // Makes the node ask the hosts that have not confirmed the change.
-        call("change", parameters);
-        behind = hosts_behind(call("status"));
+        outcome = call("change", parameters);
     }
     std::string text = "accepted, version " + outcome["version"].asString() + "\n";
-    outcome["not_confirmed"] = Json::Value(Json::arrayValue);
-    for (const auto& host : behind) {
-        outcome["not_confirmed"].append(host);
-        text += "not confirmed by " + host + "\n";
+    for (const auto& host : outcome["not_confirmed"]) {
+        text += "not confirmed by " + host.asString() + "\n";
     }
     print(outcome, text);
     return exit_code::done;
--- a/src/dandelionmount/process/gossip_service.cpp
+++ b/src/dandelionmount/process/gossip_service.cpp
@@ -52,11 +52,11 @@
 }
 
 std::vector<std::string> hosts_behind(const member_table& members, const heard_configurations& heard,
-                                      std::uint64_t next_offset) {
+                                      std::uint64_t version) {
     std::vector<std::string> behind = alive_hosts(members);
     std::erase_if(behind, [&](const std::string& host) {
         const auto found = heard.find(host);
-        return found != heard.end() && found->second.next_offset >= next_offset;
+        return found != heard.end() && found->second.next_offset >= version;
     });
     return behind;
 }
@@ -190,11 +190,12 @@
     }
 }
 
-void gossip_service::probe_behind() {
-    const auto next_offset = context_.configuration.state().next_offset;
-    for (const auto& host : hosts_behind(context_.members, heard_, next_offset)) {
+std::vector<std::string> gossip_service::probe_behind() {
+    auto behind = hosts_behind(context_.members, heard_, context_.configuration.state().version);
+    for (const auto& host : behind) {
         ping(host, address_of(host));
     }
+    return behind;
 }
 
 void gossip_service::spread_soon() {
--- a/src/dandelionmount/process/gossip_service.h
+++ b/src/dandelionmount/process/gossip_service.h
@@ -59,8 +59,8 @@
     void spread_soon();
     /// Probes every host that is alive, to hear of its configuration.
     void probe_all();
-    /// Probes the hosts that have not confirmed this host's configuration.
-    void probe_behind();
+    /// Probes the hosts that have not confirmed the configuration that is in force here, and returns them.
+    std::vector<std::string> probe_behind();
     /// Called with a host that has a later configuration.
     void on_later_configuration(std::function<void(const std::string&)> action) {
         on_later_ = std::move(action);
--- a/src/dandelionmount/process/operator_service.cpp
+++ b/src/dandelionmount/process/operator_service.cpp
@@ -183,14 +183,24 @@
     response["change_id"] = change_id;
 }
 
+// Probes of the regular rounds reach each host of a fleet after seconds only.
+Json::Value operator_service::probe_unconfirmed() {
+    Json::Value values(Json::arrayValue);
+    for (const auto& host : context_.gossip.probe_behind()) {
+        values.append(context_.members.others.at(host).zone() + "/" + host);
+    }
+    return values;
+}
+
 void operator_service::change(const Json::Value& request, Json::Value& response) {
     const std::string change_id = request["change_id"].asString();
     const auto* known = find_change(context_.configuration.state(), change_id);
     if (known != nullptr) {
-        // Probes of the regular rounds reach each host of a fleet after seconds only.
-        context_.gossip.probe_behind();
         response["outcome"] = outcome_name(known->outcome);
         response["version"] = to_value(known->version);
+        if (known->outcome == change_outcome::accepted || known->outcome == change_outcome::repeated) {
+            response["not_confirmed"] = probe_unconfirmed();
+        }
     } else {
         response["outcome"] = context_.log.is_submitted(change_id) ? "pending" : "unknown";
     }
--- a/src/dandelionmount/process/operator_service.h
+++ b/src/dandelionmount/process/operator_service.h
@@ -51,6 +51,8 @@
 
     [[nodiscard]] Json::Value status_value() const;
     [[nodiscard]] Json::Value member_values() const;
+    /// Asks the hosts that have not confirmed the configuration in force, and names them.
+    [[nodiscard]] Json::Value probe_unconfirmed();
     [[nodiscard]] bool has_withdrawal(const wire::member_record& member, const std::string& key_id) const;
 
     operator_context context_;
--- a/tests/system/store_test.py
+++ b/tests/system/store_test.py
@@ -8,14 +8,16 @@
 from store_fleet import KEY, StoreFleet
 
 
-class StoreTest(unittest.TestCase):
+class StoreFleetTest(unittest.TestCase):
     """Each test has a fleet of two targets that answer for one service, and one in front."""
 
     network = 40
+    # Whether the host in front has a way of its own to the store, which can be cut.
+    own_path = False
 
     def setUp(self):
-        StoreTest.network += 1
-        self.fleet = StoreFleet(f"127.{StoreTest.network}", ["front", "back", "back"])
+        StoreFleetTest.network += 1
+        self.fleet = StoreFleet(f"127.{StoreFleetTest.network}", ["front", "back", "back"], self.own_path)
         self.addCleanup(self.fleet.stop)
 
     def start(self, **settings):
@@ -24,6 +26,27 @@
         self.fleet.configure(3, [KEY, "second"], **settings)
         self.assertTrue(self.fleet.wait_connected())
 
+
+class TurnedAwayTest(StoreFleetTest):
+    """The host in front is cut off from the store alone."""
+
+    own_path = True
+
+    def test_a_host_that_the_store_turns_away_goes_on_by_what_other_hosts_know(self):
+        self.start()
+        self.fleet.path.is_cut = True
+        lost = time.monotonic()
+        while time.monotonic() - lost < 6:
+            self.assertEqual(self.fleet.ask(0, "/read/x").status, 200)
+            time.sleep(0.05)
+        self.fleet.configure(5, ["second"])
+        self.assertTrue(self.fleet.wait(lambda: self.fleet.ask(0, "/read/x").status == 401, 2))
+        self.assertEqual(self.fleet.ask(0, "/read/x", key="second").status, 200)
+
+
+class StoreTest(StoreFleetTest):
+    """All hosts have the same way to the store."""
+
     def test_a_request_runs_once_with_its_account_and_no_key(self):
         self.start()
         answer = self.fleet.ask(0, "/write/x", "POST", request_id="r1", **{"X-Tenant": "forged"})
@@ -53,20 +76,6 @@
         self.fleet.fault(mode="none")
         self.assertTrue(self.fleet.wait(lambda: self.fleet.ask(0, "/read/x", key="second").status == 200, 5))
 
-    def test_a_host_that_the_store_turns_away_goes_on_by_what_other_hosts_know(self):
-        self.fleet.stop()
-        self.fleet = StoreFleet(f"127.{StoreTest.network}", ["front", "back", "back"], own_path=True)
-        self.addCleanup(self.fleet.stop)
-        self.start()
-        self.fleet.path.is_cut = True
-        lost = time.monotonic()
-        while time.monotonic() - lost < 6:
-            self.assertEqual(self.fleet.ask(0, "/read/x").status, 200)
-            time.sleep(0.05)
-        self.fleet.configure(5, ["second"])
-        self.assertTrue(self.fleet.wait(lambda: self.fleet.ask(0, "/read/x").status == 401, 2))
-        self.assertEqual(self.fleet.ask(0, "/read/x", key="second").status, 200)
-
     def test_a_configuration_comes_through_lost_answers_and_dropped_history(self):
         self.start()
         self.fleet.fault(mode="lose")
