Log and count requests that end without an answer, the steps of a stop, lost links and a late event loop

A connection that was closed without an answer left no line, whatever the reason; a stop said neither what it waited for nor what it cut; a link that was given up for silence looked like one that was closed. So the logs could not tell the hypotheses of the incident apart. No decision changes.

New lines: 'connection ended without an answer' (request, cause, phase), the steps of a stop with what is still open, 'requests cut by the stop', 'link lost' (cause, silence, replies waited for), 'outcome asked', 'event loop late'. Counted: requests_unanswered, loop_delay_seconds.

--- a/src/dandelionmount/connection/frame_stream.h
+++ b/src/dandelionmount/connection/frame_stream.h
@@ -39,6 +39,8 @@
     void send_with_next(const wire::peer_frame& frame);
     void close();
     [[nodiscard]] bool is_open() const { return socket_.is_open(); }
+    /// Bytes that the system has not taken yet.
+    [[nodiscard]] std::size_t unsent() const { return queued_.size() + writing_.size(); }
     /// Frames that could not be decoded or were too large.
     [[nodiscard]] bool was_malformed() const { return malformed_; }
 
--- a/src/dandelionmount/connection/http_server.cpp
+++ b/src/dandelionmount/connection/http_server.cpp
@@ -1,6 +1,7 @@
 #include "dandelionmount/connection/http_server.h"
 
 #include "dandelionmount/connection/listen.h"
+#include "dandelionmount/process/logging.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
@@ -79,12 +80,45 @@
 
 void http_server::close_idle() {
     for (const auto& conn : connections_) {
-        if (conn->idle) {
+        if (conn->now == phase::idle) {
             conn->stream.cancel();
         }
     }
 }
 
+std::string_view http_server::phase_name(phase which) {
+    switch (which) {
+    case phase::idle:
+        return "idle";
+    case phase::receiving:
+        return "receiving";
+    case phase::working:
+        return "working";
+    case phase::sending:
+        return "sending";
+    }
+    return "";
+}
+
+void http_server::note_unanswered(const connection& conn, std::string_view cause) {
+    counters_.count(event::requests_unanswered);
+    log_event(log_level::info, "connection ended without an answer",
+              {{"request", conn.request},
+               {"cause", std::string(cause)},
+               {"phase", std::string(phase_name(conn.now))}});
+}
+
+std::size_t http_server::log_unanswered(std::string_view cause) {
+    std::size_t count = 0;
+    for (const auto& conn : connections_) {
+        if (conn->now != phase::idle) {
+            note_unanswered(*conn, cause);
+            ++count;
+        }
+    }
+    return count;
+}
+
 asio::awaitable<void> http_server::accept_connections() {
     while (acceptor_.is_open()) {
         auto [error, socket] = co_await acceptor_.async_accept(as_result);
@@ -159,14 +193,16 @@
 
 asio::awaitable<boost::system::error_code> http_server::wait_for_first_bytes(connection_pointer conn) {
     if (conn->buffer.size() > 0) {
+        conn->now = phase::receiving;
         co_return boost::system::error_code{};
     }
     constexpr std::size_t first_bytes = 4096;
-    conn->idle = true;
+    conn->now = phase::idle;
+    conn->request.clear();
     conn->stream.expires_after(limits_.idle);
     auto [error, count] = co_await conn->stream.async_read_some(conn->buffer.prepare(first_bytes), as_result);
     conn->buffer.commit(count);
-    conn->idle = false;
+    conn->now = error ? phase::idle : phase::receiving;
     co_return error;
 }
 
@@ -193,6 +229,10 @@
     const unsigned version = request.version();
     const bool head = request.method() == http::verb::head;
     conn->stream.expires_never();
+    conn->now = phase::working;
+    if (protocol_.caller_names_request) {
+        conn->request = std::string(request[protocol_.request_header]);
+    }
     ++busy_;
     auto cancel = std::make_shared<cancel_token>();
     auto done = std::make_shared<bool>(false);
@@ -203,8 +243,10 @@
     conn->stream.socket().cancel(ignored);
     --busy_;
     if (cancel->requested()) {
+        note_unanswered(*conn, conn->gone);
         co_return false;
     }
+    conn->now = phase::sending;
     response.version(version);
     response.keep_alive(keep_alive && response.keep_alive() && !draining_);
     conn->stream.expires_after(write_limit);
@@ -218,6 +260,9 @@
         auto [write_error, count] = co_await http::async_write(conn->stream, serializer, as_result);
         error = write_error;
     }
+    if (error) {
+        note_unanswered(*conn, error.message());
+    }
     co_return !error && response.keep_alive();
 }
 
@@ -252,6 +297,7 @@
     const peek_outcome seen = peek(socket);
     const bool gone = seen == peek_outcome::end && protocol_.end_of_stream_is_gone;
     if (seen == peek_outcome::broken || gone) {
+        conn->gone = gone ? "end_of_stream" : "reset";
         cancel->request();
     } else if (seen == peek_outcome::end) {
         constexpr duration reset_wait = std::chrono::milliseconds(20);
@@ -265,6 +311,7 @@
         socklen_t size = sizeof failed;
         ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &failed, &size);
         if (failed != 0) {
+            conn->gone = "reset";
             cancel->request();
         }
     }
--- a/src/dandelionmount/connection/http_server.h
+++ b/src/dandelionmount/connection/http_server.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string>
 #include <string_view>
 
 namespace dandelionmount {
@@ -42,13 +43,20 @@
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
     /// Requests that are being answered.
     [[nodiscard]] std::size_t busy() const { return busy_; }
+    /// Logs each request that has begun to arrive and has not been answered whole, and counts them.
+    std::size_t log_unanswered(std::string_view cause);
 
 private:
+    enum class phase { idle, receiving, working, sending };
     struct connection {
         explicit connection(boost::asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
         boost::beast::tcp_stream stream;
         boost::beast::flat_buffer buffer;
-        bool idle{true};
+        phase now{phase::idle};
+        /// The caller's name for the request, where callers name them; empty until it has arrived.
+        std::string request;
+        /// How the caller was seen to be gone.
+        std::string_view gone;
         /// Whether the request took too long to arrive.
         bool too_slow{false};
     };
@@ -64,6 +72,8 @@
                  boost::beast::http::request_parser<boost::beast::http::string_body>& parser);
     boost::asio::awaitable<bool> answer(connection_pointer conn, http_request request);
     boost::asio::awaitable<void> refuse(connection_pointer conn, reason why);
+    void note_unanswered(const connection& conn, std::string_view cause);
+    [[nodiscard]] static std::string_view phase_name(phase which);
     boost::asio::awaitable<void> watch(connection_pointer conn, std::shared_ptr<cancel_token> cancel,
                                        std::shared_ptr<bool> done);
 
--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -239,7 +239,32 @@
     found->second->changed.set();
 }
 
+void peer_link::log_loss() const {
+    const auto now = context_.time.now();
+    const bool silent = unanswered_since_ && now - *unanswered_since_ > silence_limit;
+    log_event(log_level::info, "link lost",
+              {{"host", host_},
+               {"cause", stopped_ ? "stopped"
+                         : silent ? "silence"
+                                  : "closed"},
+               {"heard_ms", std::to_string(to_milliseconds(now - last_heard_))},
+               {"waiting", std::to_string(pending_.size())}});
+}
+
+void peer_link::log_settlement(const wire::forward_request& request, settle_outcome outcome,
+                               duration took) const {
+    const std::string_view found = outcome == settle_outcome::not_run   ? "not-run"
+                                   : outcome == settle_outcome::pending ? "pending"
+                                                                        : "unknown";
+    log_event(log_level::info, "outcome asked",
+              {{"id", request.id()},
+               {"host", host_},
+               {"outcome", std::string(found)},
+               {"took_ms", std::to_string(to_milliseconds(took))}});
+}
+
 void peer_link::connection_ended() {
+    log_loss();
     if (stream_) {
         stream_->close();
     }
@@ -323,7 +348,9 @@
         }
         // Registered before the question, as the answer itself may come right behind its outcome.
         pending = add_pending(key);
+        const auto asked = context_.time.now();
         const auto settled = co_await settle(request, incarnation, deadline);
+        log_settlement(request, settled, context_.time.now() - asked);
         if (settled == settle_outcome::not_run) {
             context_.counters.count(event::settle_proved);
             co_return make_reply(request, wire::not_run, reason::peer_lost);
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -71,6 +71,8 @@
     boost::asio::awaitable<void> send_heartbeats(std::shared_ptr<frame_stream> stream);
     void take_frame(wire::peer_frame frame);
     void connection_ended();
+    void log_loss() const;
+    void log_settlement(const wire::forward_request& request, settle_outcome outcome, duration took) const;
     pending_pointer add_pending(const std::string& key);
     boost::asio::awaitable<settle_outcome> settle(const wire::forward_request& request,
                                                   std::uint64_t incarnation, steady_time deadline);
--- a/src/dandelionmount/connection/peer_server.cpp
+++ b/src/dandelionmount/connection/peer_server.cpp
@@ -42,6 +42,14 @@
     }
 }
 
+std::size_t peer_server::unsent() const {
+    std::size_t bytes = 0;
+    for (const auto& stream : streams_) {
+        bytes += stream->unsent();
+    }
+    return bytes;
+}
+
 asio::awaitable<void> peer_server::accept_connections() {
     while (acceptor_.is_open()) {
         auto [error, socket] = co_await acceptor_.async_accept(as_result);
--- a/src/dandelionmount/connection/peer_server.h
+++ b/src/dandelionmount/connection/peer_server.h
@@ -26,6 +26,8 @@
     result<void> listen(std::string_view address);
     /// Takes no new connection and closes those that are open.
     void stop();
+    /// Bytes to other hosts that the system has not taken yet.
+    [[nodiscard]] std::size_t unsent() const;
 
 private:
     boost::asio::awaitable<void> accept_connections();
--- a/src/dandelionmount/process/metrics.cpp
+++ b/src/dandelionmount/process/metrics.cpp
@@ -11,6 +11,7 @@
 constexpr std::array<std::string_view, event_count> event_names = {
     "caller_connections",
     "caller_requests",
+    "requests_unanswered",
     "answers",
     "outcomes_unknown",
     "attempts",
@@ -115,6 +116,7 @@
     }
     request_time_.render(text, "request_seconds");
     target_time_.render(text, "target_seconds");
+    loop_delay_.render(text, "loop_delay_seconds");
     return text;
 }
 
--- a/src/dandelionmount/process/metrics.h
+++ b/src/dandelionmount/process/metrics.h
@@ -36,6 +36,7 @@
 enum class event {
     caller_connections,
     caller_requests,
+    requests_unanswered,
     answers,
     outcomes_unknown,
     attempts,
@@ -73,6 +74,8 @@
     [[nodiscard]] std::uint64_t counted(event what) const;
     duration_summary& request_time() { return request_time_; }
     duration_summary& target_time() { return target_time_; }
+    /// How much later than asked for the event loop runs a timer.
+    duration_summary& loop_delay() { return loop_delay_; }
     /// Prometheus text format.
     [[nodiscard]] std::string render() const;
 
@@ -82,6 +85,7 @@
     std::array<std::uint64_t, event_count> events_{};
     duration_summary request_time_;
     duration_summary target_time_;
+    duration_summary loop_delay_;
 };
 
 } // namespace dandelionmount
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -47,6 +47,8 @@
 constexpr duration stop_margin = std::chrono::milliseconds(800);
 // How long the end waits for the store to take this host's record away.
 constexpr duration leave_limit = std::chrono::milliseconds(300);
+// Delays of the event loop that are worth a line: well below the silence after which a peer gives a link up.
+constexpr duration logged_loop_delay = std::chrono::milliseconds(250);
 constexpr duration quiet_poll = std::chrono::milliseconds(20);
 constexpr std::size_t most_answer_bytes = 64UL * 1024 * 1024;
 constexpr unsigned ok = 200;
@@ -268,7 +270,9 @@
 
 asio::awaitable<void> store_node::run_upkeep() {
     for (int round = 1; !stopping_ || executor_.busy() > 0; ++round) {
+        const auto due = time_.now() + upkeep_interval;
         co_await sleep_for(io_.get_executor(), upkeep_interval);
+        note_loop_delay(time_.now() - due);
         target_.check_silence();
         update_pressure(pressure_, target_.guard(), time_.now());
         update_demands(target_.guard(), time_.now());
@@ -287,6 +291,17 @@
     }
 }
 
+// A process that gets too little processor time is late with everything, its word to other hosts included.
+void store_node::note_loop_delay(duration delay) {
+    counters_.loop_delay().add(delay);
+    if (delay > logged_loop_delay) {
+        log_event(log_level::warning, "event loop late",
+                  {{"delay_ms", std::to_string(to_milliseconds(delay))},
+                   {"requests", std::to_string(caller_server_.server().busy())},
+                   {"runs", std::to_string(executor_.busy())}});
+    }
+}
+
 // Hosts that are gone for good leave their records behind. One host, the same for all that see the same
 // fleet, takes each away.
 void store_node::remove_unreachable_hosts() {
@@ -381,6 +396,17 @@
     }
 }
 
+void store_node::log_stop(std::string_view step, steady_time began) {
+    log_event(log_level::info, step,
+              {{"host", settings_.host},
+               {"took_ms", std::to_string(to_milliseconds(time_.now() - began))},
+               {"told", std::to_string(told_unready_)},
+               {"connections", std::to_string(caller_server_.server().connections())},
+               {"requests", std::to_string(caller_server_.server().busy())},
+               {"runs", std::to_string(executor_.busy())},
+               {"unsent_bytes", std::to_string(peer_server_.unsent())}});
+}
+
 asio::awaitable<void> store_node::stop() {
     if (stopping_) {
         co_return;
@@ -394,8 +420,10 @@
     executor_.drain();
     caller_server_.server().ask_to_leave();
     co_await wait_until_told(std::min(began + most_stop_grace, deadline));
+    log_stop("callers told", began);
     caller_server_.server().drain();
     co_await wait_until_quiet(deadline);
+    log_stop("quiet", began);
     caller_server_.server().close_idle();
     configuration_follower_.stop();
     asio::co_spawn(io_, registry_.leave(), asio::detached);
@@ -403,7 +431,11 @@
     while (!registry_.has_left() && time_.now() < leave_by) {
         co_await sleep_for(io_.get_executor(), quiet_poll);
     }
-    log_event(log_level::info, "stopped", {{"host", settings_.host}});
+    const auto unanswered = caller_server_.server().log_unanswered("stopped");
+    log_stop("stopped", began);
+    if (unanswered > 0) {
+        log_event(log_level::warning, "requests cut by the stop", {{"requests", std::to_string(unanswered)}});
+    }
     registry_.stop();
     peer_server_.stop();
     peers_.stop();
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -49,6 +49,9 @@
     boost::asio::awaitable<void> wait_until_quiet(steady_time deadline);
     boost::asio::awaitable<void> wait_until_told(steady_time deadline);
     void remove_unreachable_hosts();
+    void note_loop_delay(duration delay);
+    /// Logs how far a stop has come, and what it still waits for.
+    void log_stop(std::string_view step, steady_time began);
     void publish_target();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] std::string status_text() const;
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -126,6 +126,8 @@
         fixture.io.run_for(milliseconds(5));
     }
     CHECK(fixture.cancelled == 1);
+    fixture.io.run_for(milliseconds(100));
+    CHECK(fixture.counters.counted(dm::event::requests_unanswered) == 1);
 }
 
 TEST_CASE("Large headers, large bodies, bad requests and slow callers are refused and counted") {
