Test that a planned stop waits for answers and replies that are still being written

A stop counts a request as finished before its answer or reply has left the process, and does not count one that is still being read. The three new tests fail on the present code; the same requests without the signal pass.

--- a/tests/system/store_fleet.py
+++ b/tests/system/store_fleet.py
@@ -17,6 +17,7 @@
 
 CALLERS, READINESS, ANNOUNCEMENTS, PEERS, OPERATORS, TARGET, PATH = 8080, 8081, 8082, 7000, 7015, 9000, 9201
 KEY = "key-of-one"
+STOP_WAIT_S = 4
 
 
 class TargetServer(http.server.ThreadingHTTPServer):
@@ -28,6 +29,9 @@
     def __init__(self, ip, service, instance):
         self.ran = []
         self.work_s = 0.0
+        self.text = service.encode()
+        self.may_answer = threading.Event()
+        self.may_answer.set()
         self.instance = instance
         self.service = service
         self.sequence = 0
@@ -36,6 +40,13 @@
         super().__init__((ip, TARGET), TargetHandler)
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
+    def answer(self, path, headers, body):
+        """Runs one request; returns the body of its answer."""
+        self.ran.append((headers["X-Request-Id"], dict(headers), body))
+        time.sleep(self.work_s)
+        self.may_answer.wait()
+        return self.text
+
     def announce(self, state="ready"):
         self.sequence += 1
         beat = {"address": f"{self.ip}:{TARGET}", "born": 1700000000000,
@@ -50,9 +61,7 @@
 
     def do_GET(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
-        self.server.ran.append((self.headers["X-Request-Id"], dict(self.headers), body))
-        time.sleep(self.server.work_s)
-        text = self.server.service.encode()
+        text = self.server.answer(self.path, self.headers, body)
         self.send_response(200)
         self.send_header("X-Request-Id", self.headers["X-Request-Id"])
         self.send_header("X-Response-Signature", "s")
@@ -103,13 +112,13 @@
 class StoreFleet:
     """A store and nodes, from their start to their end."""
 
-    def __init__(self, network, services, own_path=False):
+    def __init__(self, network, services, own_path=False, make_target=TargetServer):
         self.dir = tempfile.mkdtemp(prefix="dandelionmount-")
         self.store_address = f"{network}.0.1:9200"
         self.children = []
         self.ips = [f"{network}.1.{index + 1}" for index in range(len(services))]
         self.store = self.spawn([os.path.join(BUILD, "standins/standin_store"), "--address", self.store_address])
-        self.targets = [TargetServer(ip, service, f"i-{index}")
+        self.targets = [make_target(ip, service, f"i-{index}")
                         for index, (ip, service) in enumerate(zip(self.ips, services))]
         # The first node's own way to the store, for tests that cut it.
         self.path = StorePath((self.ips[0], PATH), self.store_address) if own_path else None
@@ -117,8 +126,11 @@
         for index in range(len(services)):
             self.nodes.append(self.start_node(index))
         self.announcing = True
-        self.announcer = threading.Thread(target=self.keep_announcing, daemon=True)
-        self.announcer.start()
+        # A host that is paused keeps its own target waiting, and no other one.
+        self.announcers = [threading.Thread(target=self.keep_announcing, args=(target,), daemon=True)
+                           for target in self.targets]
+        for announcer in self.announcers:
+            announcer.start()
 
     def spawn(self, command, name="store"):
         output = open(os.path.join(self.dir, name + ".log"), "ab")
@@ -143,7 +155,7 @@
 peer_address = "{ip}:{PEERS}"
 operator_address = "{ip}:{OPERATORS}"
 announcement_interval = "200ms"
-stop_wait = "4s"
+stop_wait = "{STOP_WAIT_S}s"
 [platform]
 store_address = "{store}"
 [fleet]
@@ -151,19 +163,19 @@
 """)
         return self.spawn([os.path.join(BUILD, "dandelionmountd"), "--settings", path], f"node-{index}")
 
-    def keep_announcing(self):
+    def keep_announcing(self, target):
         while self.announcing:
-            for target in self.targets:
-                if target.announces:
-                    target.announce()
+            if target.announces:
+                target.announce()
             time.sleep(0.15)
 
-    def configure(self, version, keys, rate=1000, burst=1000):
+    def configure(self, version, keys, rate=1000, burst=1000, timeout="2000ms", more_routes=()):
         """Writes a configuration with one safe and one unsafe route, as the operators do."""
         routes = []
-        for name, kind, service in (("read", "safe", "back"), ("write", "unsafe", "back"), ("own", "safe", "front")):
+        for name, kind, service in (("read", "safe", "back"), ("write", "unsafe", "back"), ("own", "safe", "front"),
+                                    *more_routes):
             routes.append({"name": name, "host": "one.example", "pathPrefix": f"/{name}/", "kind": kind,
-                           "timeout": "2000ms", "targetLatency": "1s", "priority": 1, "service": service,
+                           "timeout": timeout, "targetLatency": "1s", "priority": 1, "service": service,
                            "maxAttempts": 2, "public": False})
         document = {"version": version, "routes": routes, "services": [{"name": "back"}, {"name": "front"}],
                     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeout": "3000ms",
@@ -211,11 +223,12 @@
 
     def stop(self):
         self.announcing = False
-        self.announcer.join()
         for child in self.children:
             if child.poll() is None:
                 child.send_signal(signal.SIGKILL)
             child.wait()
+        for announcer in self.announcers:
+            announcer.join()
         for server in self.targets + ([self.path] if self.path else []):
             server.shutdown()
             server.server_close()
--- a/tests/system/store_test.py
+++ b/tests/system/store_test.py
@@ -1,11 +1,13 @@
 """Nodes on the platform's store: what callers and targets see, through faults of the store and of the nodes."""
 
+import os
 import signal
+import socket
 import threading
 import time
 import unittest
 
-from store_fleet import KEY, StoreFleet
+from store_fleet import CALLERS, KEY, StoreFleet
 
 
 class StoreFleetTest(unittest.TestCase):
@@ -44,6 +46,47 @@
         self.assertEqual(self.fleet.ask(0, "/read/x", key="second").status, 200)
 
 
+class RawCaller:
+    """One connection to a host, on which a request is sent and its answer read bit by bit."""
+
+    small_buffer_bytes = 32768
+
+    def __init__(self, ip):
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.small_buffer_bytes)
+        self.socket.settimeout(5)
+        self.socket.connect((ip, CALLERS))
+
+    def send_head(self, method, path, body_bytes=0):
+        self.socket.sendall((f"{method} {path} HTTP/1.1\r\nHost: one.example\r\n"
+                             f"X-Request-Id: {os.urandom(8).hex()}\r\nX-Request-Deadline: 2000\r\n"
+                             f"X-Credential: {KEY}\r\nContent-Length: {body_bytes}\r\n\r\n").encode())
+
+    def read(self, pause_s=0.0):
+        """The status and the size of the body that came until the answer or the connection ended."""
+        head, body_bytes = b"", 0
+        try:
+            while b"\r\n\r\n" not in head:
+                data = self.socket.recv(1024)
+                if not data:
+                    return None, 0
+                head += data
+            head, rest = head.split(b"\r\n\r\n", 1)
+            body_bytes = len(rest)
+            lengths = [line for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")]
+            while body_bytes < int(lengths[0].split(b":")[1]):
+                data = self.socket.recv(self.small_buffer_bytes)
+                if not data:
+                    break
+                body_bytes += len(data)
+                time.sleep(pause_s)
+        except OSError:
+            pass
+        finally:
+            self.socket.close()
+        return (int(head.split()[1]) if head else None), body_bytes
+
+
 class StoreTest(StoreFleetTest):
     """All hosts have the same way to the store."""
 
@@ -129,6 +172,74 @@
             thread.join()
         self.assertEqual(set(statuses), {200})
 
+    def begin_stop(self, index):
+        """Sends SIGTERM and asks twice whether the host is ready, as the platform does before it looks away."""
+        self.fleet.nodes[index].send_signal(signal.SIGTERM)
+        for _ in range(2):
+            self.assertTrue(self.fleet.wait(lambda: not self.fleet.is_ready(index)))
+
+    def takes_connections(self, index):
+        try:
+            socket.create_connection((self.fleet.ips[index], CALLERS), 1).close()
+            return True
+        except ConnectionRefusedError:
+            return False
+
+    # Guards against a stop that ends while an answer is still being written to a slow caller.
+    def test_a_planned_stop_waits_for_a_caller_that_reads_a_large_answer_slowly(self):
+        self.start()
+        for target in self.fleet.targets:
+            target.text = bytes(8 << 20)
+        caller = RawCaller(self.fleet.ips[0])
+        self.addCleanup(caller.socket.close)
+        caller.send_head("GET", "/read/x")
+        self.assertTrue(self.fleet.wait(lambda: any(target.ran for target in self.fleet.targets)))
+        self.begin_stop(0)
+        self.assertEqual(caller.read(pause_s=0.005), (200, 8 << 20))
+        self.assertEqual(self.fleet.nodes[0].wait(5), 0)
+
+    # Guards against a stop that ends while a request that arrived in pieces is with its target.
+    def test_a_planned_stop_waits_for_a_request_whose_body_was_half_sent_when_the_port_closed(self):
+        self.start()
+        for target in self.fleet.targets:
+            target.work_s = 0.6
+        caller = RawCaller(self.fleet.ips[0])
+        self.addCleanup(caller.socket.close)
+        caller.send_head("POST", "/write/x", 20000)
+        caller.socket.sendall(bytes(10000))
+        # The host then waits a moment for the store to take its record away.
+        self.fleet.fault(mode="silent")
+        self.begin_stop(0)
+        self.assertTrue(self.fleet.wait(lambda: not self.takes_connections(0)))
+        caller.socket.sendall(bytes(10000))
+        self.assertEqual(caller.read(), (200, len("back")))
+        self.assertEqual(self.fleet.nodes[0].wait(5), 0)
+
+    # Guards against a stop that ends while the reply to another host is still being written.
+    def test_a_planned_stop_waits_for_a_large_reply_that_another_host_takes_slowly(self):
+        self.start()
+        leaving = self.fleet.targets[2]
+        leaving.announces = False
+        self.assertEqual(leaving.announce("draining").status, 200)
+        target = self.fleet.targets[1]
+        target.text = bytes(12 << 20)
+        target.may_answer.clear()
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(self.fleet.ask(0, "/write/x", "POST")))
+        caller.start()
+        self.assertTrue(self.fleet.wait(lambda: target.ran))
+        self.begin_stop(1)
+        # From here on only the request keeps the host.
+        time.sleep(0.4)
+        # The other host takes nothing for less than the time after which a link counts as lost.
+        self.fleet.nodes[0].send_signal(signal.SIGSTOP)
+        target.may_answer.set()
+        time.sleep(0.45)
+        self.fleet.nodes[0].send_signal(signal.SIGCONT)
+        caller.join()
+        self.assertEqual((answers[0].status, len(answers[0].body)), (200, 12 << 20))
+        self.assertEqual(self.fleet.nodes[1].wait(5), 0)
+
     def test_a_planned_stop_ends_in_time_while_the_store_says_nothing(self):
         self.start()
         self.fleet.fault(mode="silent")
