Let a stop wait until answers are delivered, not only until they are decided

Requests between hosts ended as peer_lost, a 502 in place of a run.

Cause: a stop counted a request from the moment at which it was read whole until its handler returned. It did not count one whose body was still arriving, nor the writing of an answer, nor a reply to another host that was queued on its connection. When the count was 0 it closed idle connections, also those on which a request had arrived unread, spent up to 300 ms on its record in the store, and stopped the event loop under whatever had begun since.

Evidence: three new tests fail before (busy() is 0 while 32 MB are being written and while half a request is there; a request that has arrived is closed on).

Ruled out on the way: the processes that were still there at the end of their grace time had closed all their sockets long before.

Why it works: busy() counts from the first byte to the last byte written; after the quiet moment the stop goes on until every connection of a caller has ended and every frame has been taken by the system, up to the same deadline. The wait is shared with the node on a log, which had the same fault.

--- a/src/dandelionmount/connection/http_server.cpp
+++ b/src/dandelionmount/connection/http_server.cpp
@@ -1,8 +1,10 @@
 #include "dandelionmount/connection/http_server.h"
 
 #include "dandelionmount/connection/listen.h"
+#include "dandelionmount/connection/socket_options.h"
 #include "dandelionmount/process/logging.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -80,12 +82,19 @@
 
 void http_server::close_idle() {
     for (const auto& conn : connections_) {
-        if (conn->now == phase::idle) {
+        // Bytes that the system has taken may be a whole request, for whose answer the caller waits.
+        if (conn->now == phase::idle && is_quiet(conn->stream.socket())) {
             conn->stream.cancel();
         }
     }
 }
 
+std::size_t http_server::busy() const {
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const connection_pointer& conn) { return conn->now != phase::idle; }));
+}
+
 std::string_view http_server::phase_name(phase which) {
     switch (which) {
     case phase::idle:
@@ -233,7 +242,6 @@
     if (protocol_.caller_names_request) {
         conn->request = std::string(request[protocol_.request_header]);
     }
-    ++busy_;
     auto cancel = std::make_shared<cancel_token>();
     auto done = std::make_shared<bool>(false);
     asio::co_spawn(executor_, watch(conn, cancel, done), asio::detached);
@@ -241,7 +249,6 @@
     *done = true;
     boost::system::error_code ignored;
     conn->stream.socket().cancel(ignored);
-    --busy_;
     if (cancel->requested()) {
         note_unanswered(*conn, conn->gone);
         co_return false;
--- a/src/dandelionmount/connection/http_server.h
+++ b/src/dandelionmount/connection/http_server.h
@@ -38,11 +38,11 @@
     void ask_to_leave() { draining_ = true; }
     /// Takes no new connection; those that are open are closed after their next answer.
     void drain();
-    /// Closes connections that wait for a request.
+    /// Closes connections that wait for a request; one that has arrived meanwhile is still answered.
     void close_idle();
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
-    /// Requests that are being answered.
-    [[nodiscard]] std::size_t busy() const { return busy_; }
+    /// Requests that have begun to arrive and whose answers are not written whole.
+    [[nodiscard]] std::size_t busy() const;
     /// Logs each request that has begun to arrive and has not been answered whole, and counts them.
     std::size_t log_unanswered(std::string_view cause);
 
@@ -84,7 +84,6 @@
     http_protocol protocol_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::set<connection_pointer> connections_;
-    std::size_t busy_{0};
     bool draining_{false};
 };
 
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -4,6 +4,7 @@
 #include "dandelionmount/connection/async_event.h"
 #include "dandelionmount/process/crypto.h"
 #include "dandelionmount/process/logging.h"
+#include "dandelionmount/process/stop_wait.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -176,15 +177,6 @@
     }
 }
 
-asio::awaitable<void> node::wait_until_quiet(steady_time deadline) {
-    const auto busy = [this] {
-        return executor_.busy() + caller_server_.server().busy() + target_server_.server().busy();
-    };
-    while (busy() > 0 && time_.now() < deadline) {
-        co_await sleep_for(io_.get_executor(), quiet_poll);
-    }
-}
-
 asio::awaitable<void> node::stop() {
     log_event(log_level::info, "stopping", {{"host", settings_.host}});
     stopping_ = true;
@@ -196,8 +188,13 @@
     caller_server_.server().drain();
     executor_.drain();
     co_await sleep_for(io_.get_executor(), stop_grace);
-    co_await wait_until_quiet(deadline);
-    caller_server_.server().close_idle();
+    stop_parts parts{io_.get_executor(), time_, executor_, peer_server_, {}};
+    parts.servers.push_back(&caller_server_.server());
+    parts.servers.push_back(&target_server_.server());
+    co_await wait_until_quiet(parts, deadline);
+    // The target keeps its connections open.
+    parts.servers.pop_back();
+    co_await wait_until_delivered(parts, deadline);
     members_.self.set_state(wire::member_left);
     announce_self(members_);
     gossip_.probe_all();
--- a/src/dandelionmount/process/node.h
+++ b/src/dandelionmount/process/node.h
@@ -40,7 +40,6 @@
     void handle_frame(const wire::peer_frame& frame, const peer_name& from,
                       std::shared_ptr<frame_stream> stream);
     boost::asio::awaitable<void> run_upkeep();
-    boost::asio::awaitable<void> wait_until_quiet(steady_time deadline);
     void publish_target();
     void choose_own_witnesses();
 
--- /dev/null
+++ b/src/dandelionmount/process/stop_wait.h
@@ -0,0 +1,32 @@
+#ifndef DANDELIONMOUNT_PROCESS_STOP_WAIT_H
+#define DANDELIONMOUNT_PROCESS_STOP_WAIT_H
+
+#include "dandelionmount/connection/http_server.h"
+#include "dandelionmount/connection/peer_server.h"
+#include "dandelionmount/process/clock.h"
+#include "dandelionmount/request/executor.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <vector>
+
+namespace dandelionmount {
+
+/// What a stopping process waits for.
+struct stop_parts {
+    boost::asio::any_io_executor context;
+    const time_source& time;
+    const executor& runs;
+    const peer_server& peers;
+    /// Those that callers and the target speak to.
+    std::vector<http_server*> servers;
+};
+
+/// Waits until no request is being received, run or answered.
+boost::asio::awaitable<void> wait_until_quiet(stop_parts parts, steady_time deadline);
+/// Closes the servers' connections as each is answered, and waits until all that was to be sent has been
+/// taken by the system.
+boost::asio::awaitable<void> wait_until_delivered(stop_parts parts, steady_time deadline);
+
+} // namespace dandelionmount
+
+#endif
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -5,6 +5,7 @@
 #include "dandelionmount/process/crypto.h"
 #include "dandelionmount/process/logging.h"
 #include "dandelionmount/process/rendezvous.h"
+#include "dandelionmount/process/stop_wait.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -390,12 +391,6 @@
     co_await sleep_for(io_.get_executor(), last_requests_time);
 }
 
-asio::awaitable<void> store_node::wait_until_quiet(steady_time deadline) {
-    while (executor_.busy() + caller_server_.server().busy() > 0 && time_.now() < deadline) {
-        co_await sleep_for(io_.get_executor(), quiet_poll);
-    }
-}
-
 void store_node::log_stop(std::string_view step, steady_time began) {
     log_event(log_level::info, step,
               {{"host", settings_.host},
@@ -422,9 +417,11 @@
     co_await wait_until_told(std::min(began + most_stop_grace, deadline));
     log_stop("callers told", began);
     caller_server_.server().drain();
-    co_await wait_until_quiet(deadline);
+    stop_parts parts{io_.get_executor(), time_, executor_, peer_server_, {}};
+    parts.servers.push_back(&caller_server_.server());
+    co_await wait_until_quiet(parts, deadline);
     log_stop("quiet", began);
-    caller_server_.server().close_idle();
+    co_await wait_until_delivered(parts, deadline);
     configuration_follower_.stop();
     asio::co_spawn(io_, registry_.leave(), asio::detached);
     const auto leave_by = time_.now() + leave_limit;
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -74,14 +74,17 @@
     asio::io_context io{1};
     dm::metrics counters;
     int cancelled{0};
-    dm::http_server server{
-        io.get_executor(), small_limits(), counters,
-        [this](dm::http_request request,
-               std::shared_ptr<dm::cancel_token> cancel) -> asio::awaitable<dm::http_response> {
-            cancel->on_request([this] { ++cancelled; });
-            co_await dm::sleep_for(io.get_executor(), milliseconds(60));
-            co_return dm::make_text_answer(200, "text/plain", "[" + std::string(request.target()) + "]");
-        }};
+    // Bytes of an answer beside its path.
+    std::size_t answer_bytes{0};
+    dm::http_server server{io.get_executor(), small_limits(), counters,
+                           [this](dm::http_request request, std::shared_ptr<dm::cancel_token> cancel)
+                               -> asio::awaitable<dm::http_response> {
+                               cancel->on_request([this] { ++cancelled; });
+                               co_await dm::sleep_for(io.get_executor(), milliseconds(60));
+                               co_return dm::make_text_answer(200, "text/plain",
+                                                              "[" + std::string(request.target()) + "]" +
+                                                                  std::string(answer_bytes, 'x'));
+                           }};
 };
 
 std::size_t count_of(const std::string& text, const std::string& part) {
@@ -178,4 +181,44 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a stop that ends while the last answers are being written: their callers lost them.
+TEST_CASE("A request counts until its answer is written whole") {
+    server_fixture fixture;
+    fixture.answer_bytes = 32UL * 1024 * 1024;
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: x\r\n\r\n")));
+    fixture.io.run_for(milliseconds(200));
+    CHECK(fixture.server.busy() == 1);
+    fixture.server.drain();
+    CHECK(fixture.receive(socket).size() > fixture.answer_bytes);
+    CHECK(fixture.server.busy() == 0);
+}
+
+// Guards against a stop that ends while a request is being received: it was run and its answer lost.
+TEST_CASE("A request counts from its first bytes") {
+    server_fixture fixture;
+    auto socket = fixture.connect();
+    asio::write(socket,
+                asio::buffer(std::string("POST /half HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")));
+    fixture.io.run_for(milliseconds(20));
+    CHECK(fixture.server.busy() == 1);
+    asio::write(socket, asio::buffer(std::string("cd")));
+    fixture.io.run_for(milliseconds(20));
+    CHECK(fixture.server.busy() == 1);
+    fixture.io.run_for(milliseconds(100));
+    CHECK(fixture.server.busy() == 0);
+}
+
+// Guards against requests that were lost because they had arrived, and were not read yet, as idle connections
+// were closed.
+TEST_CASE("A request that has arrived is answered though idle connections are closed") {
+    server_fixture fixture;
+    auto socket = fixture.connect();
+    fixture.io.run_for(milliseconds(20));
+    asio::write(socket, asio::buffer(std::string("GET /arrived HTTP/1.1\r\nHost: x\r\n\r\n")));
+    fixture.server.drain();
+    fixture.server.close_idle();
+    CHECK(fixture.receive(socket).find("[/arrived]") != std::string::npos);
+}
+
 TEST_SUITE_END();
