Let a stopping host refuse requests that may outlast it

Evidence: a new test of system_store sends a request 1 s after the port closed, with 2 s of time while the host ends 1.9 s later: before, it was passed on and its connection closed without an answer; now it gets 503 and runs nowhere.

Why it works: from the moment at which no new connection is taken, a request enters only if its time ends before the process does. Any other gets 503 host_stopping at once, true and with Retry-After. Calls of runs that are under way are taken as before.

--- a/src/dandelionmount/connection/caller_server.cpp
+++ b/src/dandelionmount/connection/caller_server.cpp
@@ -98,9 +98,18 @@
         checked.timeout = std::min<duration>(asked, checked.route.timeout_limit);
     }
     checked.why = check_key(request, checked);
+    const bool outlasts = end_ && !is_call(*route) && context_.time.now() + checked.timeout > *end_;
+    if (checked.why == reason::none && outlasts) {
+        checked.why = reason::host_stopping;
+    }
     return checked;
 }
 
+// A call belongs to a request that runs already, and is bounded by it.
+bool caller_server::is_call(const route_settings& route) const {
+    return route.open && context_.protocol.targets_call_open_routes;
+}
+
 reason caller_server::check_key(const http_request& request, checked_request& checked) const {
     const auto key = key_of(request, context_.protocol);
     if (key && exposes_key(request, *key, context_.protocol)) {
@@ -232,7 +241,7 @@
     }
     order.route = checked.route.prefix;
     forwarded.set_route(checked.route.prefix);
-    order.enters_here = !(checked.route.open && context_.protocol.targets_call_open_routes);
+    order.enters_here = !is_call(checked.route);
     forwarded.set_is_call(!order.enters_here);
     return order;
 }
--- a/src/dandelionmount/connection/caller_server.h
+++ b/src/dandelionmount/connection/caller_server.h
@@ -37,6 +37,8 @@
 
     result<void> listen(std::string_view address) { return server_.listen(address); }
     [[nodiscard]] http_server& server() { return server_; }
+    /// Refuses requests from now on whose time may last longer than this; calls of running work are taken.
+    void end_by(steady_time end) { end_ = end; }
 
 private:
     /// What the checks of a request came to: who called and where it goes, or why it is refused. The route is
@@ -62,12 +64,15 @@
                                        duration retry_after);
     /// The name that the caller gave the request; empty when it gave none.
     [[nodiscard]] std::string request_name(const http_request& request) const;
+    [[nodiscard]] bool is_call(const route_settings& route) const;
     [[nodiscard]] reason check_form(const http_request& request) const;
     void log_end(const http_request& request, const checked_request& checked,
                  const wire::forward_reply& reply, duration took) const;
     void log_refusal(const http_request& request, const checked_request& checked) const;
 
     caller_server_context context_;
+    /// When this process ends, once that is known.
+    std::optional<steady_time> end_;
     http_server server_;
 };
 
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -417,6 +417,7 @@
     co_await wait_until_told(std::min(began + most_stop_grace, deadline));
     log_stop("callers told", began);
     caller_server_.server().drain();
+    caller_server_.end_by(deadline);
     stop_parts parts{io_.get_executor(), time_, executor_, peer_server_, {}};
     parts.servers.push_back(&caller_server_.server());
     co_await wait_until_quiet(parts, deadline);
--- a/tests/system/store_test.py
+++ b/tests/system/store_test.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from store_fleet import CALLERS, KEY, StoreFleet
+from store_fleet import CALLERS, KEY, STOP_WAIT_S, StoreFleet
 
 
 class StoreFleetTest(unittest.TestCase):
@@ -62,7 +62,7 @@
                              f"X-Request-Id: {os.urandom(8).hex()}\r\nX-Request-Deadline: 2000\r\n"
                              f"X-Credential: {KEY}\r\nContent-Length: {body_bytes}\r\n\r\n").encode())
 
-    def read(self, pause_s=0.0):
+    def read(self, pause_s=0.0, keeps=False):
         """The status and the size of the body that came until the answer or the connection ended."""
         head, body_bytes = b"", 0
         try:
@@ -83,7 +83,8 @@
         except OSError:
             pass
         finally:
-            self.socket.close()
+            if not keeps:
+                self.socket.close()
         return (int(head.split()[1]) if head else None), body_bytes
 
 
@@ -248,6 +249,30 @@
         self.assertEqual(self.fleet.nodes[1].wait(6), 0)
         self.assertLess(time.monotonic() - began, 4)
 
+    # Guards against a request that is taken late in a stop and cut when the host ends.
+    def test_a_stopping_host_refuses_what_may_outlast_it(self):
+        self.start()
+        for target in self.fleet.targets:
+            target.work_s = 1.8
+        first, late = RawCaller(self.fleet.ips[0]), RawCaller(self.fleet.ips[0])
+        for caller in (first, late):
+            self.addCleanup(caller.socket.close)
+        # Its connection counts as open for requests once it has carried one.
+        late.send_head("GET", "/nowhere/x")
+        self.assertEqual(late.read(keeps=True)[0], 404)
+        first.send_head("POST", "/write/x")
+        self.assertTrue(self.fleet.wait(lambda: any(target.ran for target in self.fleet.targets)))
+        self.begin_stop(0)
+        self.assertTrue(self.fleet.wait(lambda: not self.takes_connections(0)))
+        time.sleep(1)
+        for target in self.fleet.targets:
+            target.work_s = 1.95
+        late.send_head("POST", "/write/x")
+        self.assertEqual(late.read()[0], 503)
+        self.assertEqual(first.read()[0], 200)
+        self.assertEqual(sum(len(target.ran) for target in self.fleet.targets), 1)
+        self.assertEqual(self.fleet.nodes[0].wait(STOP_WAIT_S), 0)
+
     def test_settings_are_read_again_and_bad_ones_refused(self):
         self.start()
         path = f"{self.fleet.dir}/node-0.toml"
