End the process once the event loop has ended, without waiting for the log library's threads

Cause: the destructor of the log library's initializer joins its pool of threads. On the users' platform that join does not return. Evidence: with lines to standard error around it, the event loop and all sockets were gone within 5 ms of the line "stopped", and log4cplus::deinitialize() was entered and never left (two trials). Ruled out: requests lost by it, as the sockets were closed.

Change: the program leaves by quick_exit, which flushes nothing that is needed and runs no static destructors. No test of ours fails before it: off the platform the join returns at once.

--- a/src/dandelionmountd/main.cpp
+++ b/src/dandelionmountd/main.cpp
@@ -24,6 +24,13 @@
     return FLAGS_settings.empty() && named != nullptr ? named : FLAGS_settings;
 }
 
+// Static objects are left as they are: the log library would wait for its threads, which need not run any
+// more once the event loop has ended.
+[[noreturn]] void end_process(int status) {
+    std::cout.flush();
+    std::quick_exit(status);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -37,10 +44,10 @@
         return exit_usage;
     }
     if (dandelionmount::names_store({path, *text})) {
-        return run_on_store(path, *text);
+        end_process(run_on_store(path, *text));
     }
 #ifdef DANDELIONMOUNT_LOG_PLATFORM
-    return run_on_log(path, *text);
+    end_process(run_on_log(path, *text));
 #else
     std::cerr << path << ": platform.store_address is needed; this build knows no other platform\n";
     return exit_usage;
