Let links live on while replies are owed, and don't take one's own delay for another host's silence

Cause, both times a live link given up for what says nothing about it: - A host that left the list of hosts had its link closed at once, with replies waiting unread on it. peer_directory retires the link now: no new connection, and the present one is closed when nothing is waited for any more or the other host closes it. - A link counted as silent by the clock alone. After a stall of the own process of over 0.7 s the timer ran before the frames that lay in the socket, and all links with requests under way were given up together. The delay of the own timer is taken off now.

--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -106,6 +106,17 @@
     }
 }
 
+void peer_link::retire() {
+    stopped_ = true;
+    close_if_retired();
+}
+
+void peer_link::close_if_retired() {
+    if (stopped_ && pending_.empty() && stream_) {
+        stream_->close();
+    }
+}
+
 asio::awaitable<peer_link::connect_outcome> peer_link::wait_connected(steady_time deadline) {
     auto self = shared_from_this();
     while (!stopped_) {
@@ -214,11 +225,15 @@
         bool is_due = false;
         if (pending_.empty()) {
             work_.reset();
-            const bool woken = co_await work_.wait_until(context_.time.now() + idle_heartbeat_interval);
+            const auto due = context_.time.now() + idle_heartbeat_interval;
+            const bool woken = co_await work_.wait_until(due);
             is_due = !woken;
+            discount_delay(due);
         }
         if (!is_due) {
+            const auto due = context_.time.now() + heartbeat_interval;
             co_await sleep_for(context_.executor, heartbeat_interval);
+            discount_delay(due);
             is_due = !pending_.empty() && context_.time.now() - last_heard_ >= heartbeat_interval;
         }
         if (unanswered_since_ && context_.time.now() - *unanswered_since_ > silence_limit) {
@@ -230,6 +245,14 @@
     }
 }
 
+// Time in which this process did not run itself says nothing about the other host.
+void peer_link::discount_delay(steady_time due) {
+    const auto now = context_.time.now();
+    if (unanswered_since_ && now > due) {
+        *unanswered_since_ += now - due;
+    }
+}
+
 void peer_link::take_frame(wire::peer_frame frame) {
     const auto found = pending_.find(reply_key_of(frame));
     if (found == pending_.end()) {
@@ -300,6 +323,7 @@
     if (found != pending_.end() && found->second == pending) {
         pending_.erase(found);
     }
+    close_if_retired();
     co_return std::move(pending->reply);
 }
 
@@ -322,6 +346,7 @@
     });
     auto reply = co_await await_reply(request, deadline);
     pending_.erase(forward_key(request.id(), request.attempt()));
+    close_if_retired();
     co_return reply;
 }
 
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -49,6 +49,8 @@
     [[nodiscard]] bool is_connected() const { return stream_ && stream_->is_open(); }
     /// Closes the connection and opens none any more.
     void stop();
+    /// Opens no connection any more, and closes the present one once nothing is waited for on it.
+    void retire();
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] const std::string& host() const { return host_; }
 
@@ -69,8 +71,10 @@
     boost::asio::awaitable<bool> open_connection();
     boost::asio::awaitable<void> read_frames(std::shared_ptr<frame_stream> stream);
     boost::asio::awaitable<void> send_heartbeats(std::shared_ptr<frame_stream> stream);
+    void discount_delay(steady_time due);
     void take_frame(wire::peer_frame frame);
     void connection_ended();
+    void close_if_retired();
     void log_loss() const;
     void log_settlement(const wire::forward_request& request, settle_outcome outcome, duration took) const;
     pending_pointer add_pending(const std::string& key);
--- a/src/dandelionmount/process/peer_directory.cpp
+++ b/src/dandelionmount/process/peer_directory.cpp
@@ -15,7 +15,7 @@
         return found->second;
     }
     if (found != links_.end()) {
-        found->second->stop();
+        found->second->retire();
     }
     auto link = std::make_shared<peer_link>(context_, std::string(host), member->second.address());
     links_.insert_or_assign(std::string(host), link);
@@ -56,7 +56,8 @@
         const bool gone =
             unknown || (member != members_.others.end() && member->second.state() != wire::member_alive);
         if (gone) {
-            entry.second->stop();
+            // The last replies of a host that left may not have been read yet.
+            entry.second->retire();
         }
         return gone;
     });
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -1,7 +1,9 @@
 #include "dandelionmount/connection/peer_link.h"
 
 #include "dandelionmount/connection/http_server.h"
+#include "dandelionmount/connection/listen.h"
 #include "dandelionmount/connection/peer_server.h"
+#include "dandelionmount/process/peer_directory.h"
 #include "dandelionmount/request/executor.h"
 #include "tests/support/relay.h"
 #include "tests/support/seed.h"
@@ -9,10 +11,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <atomic>
 #include <doctest/doctest.h>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <random>
+#include <thread>
 
 namespace dm = dandelionmount;
 namespace asio = boost::asio;
@@ -97,7 +102,7 @@
 
     asio::awaitable<dm::http_response> run_at_target(dm::http_request request) {
         ++runs[std::string(request["Dandelion-Request"])];
-        co_await dm::sleep_for(io.get_executor(), milliseconds(random() % 20));
+        co_await dm::sleep_for(io.get_executor(), least_work + milliseconds(random() % 20));
         co_return dm::make_text_answer(200, "text/plain", std::string(request["Dandelion-Request"]));
     }
 
@@ -163,6 +168,8 @@
     std::vector<std::unique_ptr<host_process>> processes;
     std::unique_ptr<tests::relay> middle;
     std::shared_ptr<dm::peer_link> link;
+    /// Time that each run takes at least.
+    dm::duration least_work{0};
     std::map<std::string, int> runs;
     std::map<std::string, wire::forward_outcome> told;
     /// Requests whose outcome stayed unknown because a connection was lost.
@@ -171,6 +178,69 @@
     int open{0};
 };
 
+// A host in a thread of its own that returns heartbeats after a while, and replies to a request after the
+// second one.
+class slow_peer {
+public:
+    slow_peer() {
+        REQUIRE(dm::open_acceptor(acceptor_, "127.0.0.1:0"));
+        asio::co_spawn(io_, serve(), asio::detached);
+        thread_ = std::thread([this] { io_.run(); });
+    }
+    slow_peer(const slow_peer&) = delete;
+    slow_peer& operator=(const slow_peer&) = delete;
+    ~slow_peer() {
+        io_.stop();
+        thread_.join();
+    }
+
+    [[nodiscard]] std::string address() const {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    [[nodiscard]] int connections() const { return connections_; }
+    [[nodiscard]] int heartbeats() const { return heartbeats_; }
+
+private:
+    asio::awaitable<void> serve() {
+        while (true) {
+            auto [error, socket] = co_await acceptor_.async_accept(dm::as_result);
+            if (error) {
+                co_return;
+            }
+            ++connections_;
+            asio::co_spawn(io_, serve_one(std::make_shared<dm::frame_stream>(std::move(socket))),
+                           asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve_one(std::shared_ptr<dm::frame_stream> stream) {
+        const auto peer = co_await dm::accept_handshake(*stream, self_);
+        wire::peer_frame reply;
+        while (peer) {
+            const auto frame = co_await stream->read(dm::most_frame_bytes);
+            if (!frame) {
+                break;
+            }
+            if (frame.value().has_forward_request()) {
+                *reply.mutable_forward_reply() =
+                    dm::make_reply(frame.value().forward_request(), wire::ran, dm::reason::none);
+            } else if (frame.value().has_heartbeat()) {
+                const bool replies = ++heartbeats_ == 2;
+                co_await dm::sleep_for(io_.get_executor(), milliseconds(50));
+                stream->send(replies ? reply : frame.value());
+            }
+        }
+        stream->close();
+    }
+
+    asio::io_context io_{1};
+    asio::ip::tcp::acceptor acceptor_{io_};
+    dm::peer_identity self_{"receiver", 1, "secret"};
+    std::atomic<int> connections_{0};
+    std::atomic<int> heartbeats_{0};
+    std::thread thread_;
+};
+
 enum class link_fault { cut, silence, restart };
 
 // Sends requests for a while with faults in between, and waits for all outcomes.
@@ -255,4 +325,63 @@
     CHECK(fixture.runs.empty());
 }
 
+// Guards against replies that were dropped unread when the store said that their host had left: callers got
+// 502 for requests that had run.
+TEST_CASE("A request that runs at a host which leaves the list still gets its reply") {
+    link_fixture fixture(1, true);
+    fixture.least_work = milliseconds(300);
+    dm::member_table members{{}};
+    wire::member_record record;
+    record.set_host("receiver");
+    record.set_address(host_address);
+    record.set_state(wire::member_alive);
+    dm::store_record(members, record);
+    dm::peer_directory directory({fixture.io.get_executor(), fixture.sender, fixture.time, fixture.counters},
+                                 members);
+    fixture.link = directory.find("receiver");
+    asio::co_spawn(fixture.io, fixture.send("leaving", std::chrono::seconds(2)), asio::detached);
+    fixture.io.run_for(milliseconds(100));
+    REQUIRE(fixture.runs["leaving"] == 1);
+    dm::erase_record(members, "receiver");
+    directory.forget_gone();
+    REQUIRE(fixture.run_until_quiet(std::chrono::seconds(4)));
+    CHECK(fixture.told["leaving"] == wire::ran);
+}
+
+// Guards against a host that is late itself and takes the others for silent: it gave up all its links at
+// once.
+TEST_CASE("A host that did not run for a while keeps its connections to the others") {
+    slow_peer peer;
+    asio::io_context io{1};
+    const dm::system_time_source time;
+    dm::metrics counters;
+    const dm::peer_identity self{"sender", 1, "secret"};
+    const dm::peer_link_context context{io.get_executor(), self, time, counters};
+    const auto link = std::make_shared<dm::peer_link>(context, "receiver", peer.address());
+    std::optional<wire::forward_reply> reply;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            wire::forward_request request;
+            request.set_id("late");
+            request.set_attempt(1);
+            reply = co_await link->forward(request, time.now() + std::chrono::seconds(5),
+                                           std::make_shared<dm::cancel_token>());
+        },
+        asio::detached);
+    const auto until = time.now() + std::chrono::seconds(5);
+    while (peer.heartbeats() == 0 && time.now() < until) {
+        io.run_for(milliseconds(1));
+    }
+    std::this_thread::sleep_for(milliseconds(900));
+    while (!reply && time.now() < until) {
+        io.run_for(milliseconds(5));
+    }
+    link->stop();
+    io.run_for(milliseconds(20));
+    REQUIRE(reply);
+    CHECK(reply->outcome() == wire::ran);
+    CHECK(peer.connections() == 1);
+}
+
 TEST_SUITE_END();
