Give up at once on answers of a target that have no end, and bound their memory together

Callers got no answer while a target sent bytes without end, not even at the request's deadline, and the memory of the process grew with what it kept of them, for all such requests at the same time.

Cause: interim answers were dropped without a limit of number. Beast's read operations go on by themselves while the parser needs more, so a chunk's header or trailers without end grew the buffer without a limit. While bytes are always ready each read ends before the stream's timer is looked at, so the deadline did not hold either. A start that came in pieces (fewer than eight bytes first) was not looked at before a whole head. One answer could have 64 MB, any number of them at a time, on hosts with 160 MB.

receive_answer drives the parser itself, so that after each read the limits hold: 16 KB of head, 20 KB that can't be parsed yet, 8 interim answers, the deadline, and a budget that all answers being received share. A share may have half of what the others leave, so a few endless answers are cut and small ones still find room. An answer on the store's platform may have 8 MB, all together 32 MB.

The budget counts bodies until the call returns; replies that wait to be fetched are not in it.

--- a/src/dandelionmount/connection/target_connection.cpp
+++ b/src/dandelionmount/connection/target_connection.cpp
@@ -1,12 +1,10 @@
 #include "dandelionmount/connection/target_connection.h"
 
+#include "dandelionmount/connection/answer_receiver.h"
 #include "dandelionmount/connection/peer_link.h"
 #include "dandelionmount/connection/socket_options.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 
@@ -38,15 +36,11 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-bool is_interim(unsigned status) {
-    return status < success;
-}
-
 reason read_failure(const boost::system::error_code& error) {
     if (error == beast::error::timeout) {
         return reason::deadline;
     }
-    return error == http::error::body_limit ? reason::target_answer_too_large : reason::target_lost;
+    return is_too_large(error) ? reason::target_answer_too_large : reason::target_lost;
 }
 
 bool has_header(const http_response& answer, const std::string& name) {
@@ -72,9 +66,10 @@
 } // namespace
 
 target_connections::target_connections(asio::any_io_executor executor, const time_source& time,
-                                       std::size_t most_answer_bytes, http_protocol protocol)
+                                       std::size_t most_answer_bytes, std::shared_ptr<byte_budget> memory,
+                                       http_protocol protocol)
     : executor_(std::move(executor)), time_(time), most_answer_bytes_(most_answer_bytes),
-      protocol_(std::move(protocol)) {}
+      memory_(std::move(memory)), protocol_(std::move(protocol)) {}
 
 http_request target_connections::make_target_request(const wire::forward_request& request,
                                                      std::string_view instance, duration left) const {
@@ -221,7 +216,7 @@
     http::async_write(
         conn->stream, sent->message,
         [conn, sent](const boost::system::error_code& error, std::size_t) { sent->written = !error; });
-    outcome = co_await exchange(conn, request, sent);
+    outcome = co_await exchange(conn, request, sent, deadline);
     *active = false;
     if (outcome.reply.outcome() == wire::unknown && cancel->requested()) {
         outcome.reply.set_reason(std::string(reason_token(reason::caller_gone)));
@@ -231,44 +226,38 @@
 
 asio::awaitable<target_connections::exchange_outcome>
 target_connections::exchange(connection_pointer conn, const wire::forward_request& request,
-                             std::shared_ptr<sent_request> sent) {
+                             std::shared_ptr<sent_request> sent, steady_time deadline) {
     exchange_outcome outcome;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(most_unparsed_bytes);
+    budget_share memory(memory_);
+    const answer_limits limits{most_answer_bytes_, deadline, &memory};
+    const bool answers_head = sent->message.method() == http::verb::head;
     int stray_answers = 0;
     while (true) {
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(most_answer_bytes_);
-        parser.skip(sent->message.method() == http::verb::head);
-        auto [error, count] = co_await http::async_read(conn->stream, buffer, parser, as_result);
-        if (error) {
-            const reason why = read_failure(error);
+        auto answer = co_await receive_answer(conn->stream, buffer, answers_head, limits);
+        if (answer.error) {
+            const reason why = read_failure(answer.error);
             outcome.reply = make_reply(request, wire::unknown, why);
-            outcome.lost_unanswered = why == reason::target_lost && count == 0 && buffer.size() == 0;
+            outcome.lost_unanswered = why == reason::target_lost && !answer.began && stray_answers == 0;
             conn->stream.close();
             co_return outcome;
         }
-        const bool unframed = parser.need_eof();
-        const bool keep_alive = parser.keep_alive() && buffer.size() == 0 && sent->written;
-        http_response answer = parser.release();
-        if (is_interim(answer.result_int())) {
-            continue;
-        }
-        if (!belongs_to(answer, request)) {
+        if (!belongs_to(answer.message, request)) {
             ++stray_answers;
-            if (stray_answers <= most_stray_answers && !unframed) {
+            if (stray_answers <= most_stray_answers && !answer.unframed) {
                 continue;
             }
         }
-        const bool usable = stray_answers <= most_stray_answers && belongs_to(answer, request) &&
-                            (!unframed || protocol_.accepts_unframed_answers);
-        if (usable && keep_alive) {
-            keep(conn, answer);
+        const bool usable = stray_answers <= most_stray_answers && belongs_to(answer.message, request) &&
+                            (!answer.unframed || protocol_.accepts_unframed_answers);
+        if (usable && answer.keep_alive && sent->written) {
+            keep(conn, answer.message);
         } else {
             conn->stream.close();
         }
         // An answer that ends with the connection can't be told from one that was cut short, unless the
         // target's answers always say so by a reset.
-        outcome.reply = usable ? take_answer(request, std::move(answer))
+        outcome.reply = usable ? take_answer(request, std::move(answer.message))
                                : make_reply(request, wire::unknown, reason::target_lost);
         co_return outcome;
     }
--- a/src/dandelionmount/connection/target_connection.h
+++ b/src/dandelionmount/connection/target_connection.h
@@ -3,6 +3,7 @@
 
 #include "dandelionmount/connection/async_event.h"
 #include "dandelionmount/connection/http_headers.h"
+#include "dandelionmount/process/byte_budget.h"
 #include "dandelionmount/process/clock.h"
 #include "dandelionmount/wire/peer.pb.h"
 
@@ -26,8 +27,10 @@
 /// Calls to the target of this host.
 class target_connections {
 public:
+    /// One answer's body may have `most_answer_bytes`; those that are being received share `memory`.
     target_connections(boost::asio::any_io_executor executor, const time_source& time,
-                       std::size_t most_answer_bytes, http_protocol protocol = {});
+                       std::size_t most_answer_bytes, std::shared_ptr<byte_budget> memory,
+                       http_protocol protocol = {});
 
     /// Sends the request to the target and waits for its whole answer. Only an answer that belongs to the
     /// request, is framed and complete is `ran`; `not_run` is said only when the request was not sent, or
@@ -66,7 +69,8 @@
                                                  steady_time deadline, std::shared_ptr<cancel_token> cancel);
     boost::asio::awaitable<exchange_outcome> exchange(connection_pointer conn,
                                                       const wire::forward_request& request,
-                                                      std::shared_ptr<sent_request> sent);
+                                                      std::shared_ptr<sent_request> sent,
+                                                      steady_time deadline);
     [[nodiscard]] http_request make_target_request(const wire::forward_request& request,
                                                    std::string_view instance, duration left) const;
     [[nodiscard]] wire::forward_reply take_answer(const wire::forward_request& request,
@@ -77,6 +81,7 @@
     boost::asio::any_io_executor executor_;
     const time_source& time_;
     std::size_t most_answer_bytes_;
+    std::shared_ptr<byte_budget> memory_;
     http_protocol protocol_;
     std::vector<connection_pointer> idle_;
 };
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -20,6 +20,10 @@
 constexpr duration stop_grace = std::chrono::milliseconds(700);
 constexpr duration quiet_poll = std::chrono::milliseconds(10);
 constexpr int upkeep_rounds_of_second = 10;
+// Bytes of all answers that are being received: a quarter of what a node may use, 128 MB. Where the settings
+// allow larger answers, a few of them at a time.
+constexpr std::size_t least_received_bytes = 32UL * 1024 * 1024;
+constexpr std::size_t large_answers_at_once = 4;
 
 // Later processes have higher numbers, so the clock of a host must not go back behind its predecessor's
 // start.
@@ -35,6 +39,10 @@
     return parsed->ip;
 }
 
+byte_budget received_answers_budget(const caller_limits& limits) {
+    return {std::max(least_received_bytes, large_answers_at_once * limits.body_bytes)};
+}
+
 wire::member_record make_own_record(const settings& own, std::uint64_t incarnation) {
     wire::member_record record;
     record.set_host(own.host);
@@ -55,7 +63,8 @@
       members_{make_own_record(own, identity_.incarnation)}, lease_{identity_.incarnation},
       configuration_(own.zones, time), target_(time, own.mechanisms),
       peers_({io.get_executor(), identity_, time, counters_, own.mechanisms.settle, false, {}}, members_),
-      connections_(io.get_executor(), time, own.limits.body_bytes),
+      connections_(io.get_executor(), time, own.limits.body_bytes,
+                   std::make_shared<byte_budget>(received_answers_budget(own.limits))),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
                  ip_of(own.target_address)}),
       dispatcher_(
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -48,7 +48,10 @@
 // How long the end waits for the store to take this host's record away.
 constexpr duration leave_limit = std::chrono::milliseconds(300);
 constexpr duration quiet_poll = std::chrono::milliseconds(20);
-constexpr std::size_t most_answer_bytes = 64UL * 1024 * 1024;
+// Bytes of one answer's body: eight times the largest body that configurations usually let callers send.
+constexpr std::size_t most_answer_bytes = 8UL * 1024 * 1024;
+// Bytes of all answers that are being received: a fifth of the memory of the smallest hosts, 160 MB.
+constexpr std::size_t most_received_bytes = 32UL * 1024 * 1024;
 constexpr unsigned ok = 200;
 constexpr unsigned bad_request = 400;
 constexpr unsigned not_found = 404;
@@ -95,7 +98,8 @@
           {io.get_executor(), identity_, time, counters_, true, true,
            [this](const std::string& host, bool reachable) { dispatcher_.note_reachable(host, reachable); }},
           members_),
-      connections_(io.get_executor(), time, most_answer_bytes, adapter.protocol),
+      connections_(io.get_executor(), time, most_answer_bytes,
+                   std::make_shared<byte_budget>(byte_budget{most_received_bytes}), adapter.protocol),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
                  ip_of(own.target_address), &pressure_}),
       dispatcher_(make_dispatcher_context(time, counters_, configuration_, members_, peers_, executor_,
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -30,7 +30,8 @@
     host_process(asio::io_context& io, const dm::time_source& time, dm::configuration_store& configuration,
                  std::uint64_t incarnation)
         : identity{"receiver", incarnation, "secret"}, target(time),
-          connections(io.get_executor(), time, 100000),
+          connections(io.get_executor(), time, 100000,
+                      std::make_shared<dm::byte_budget>(dm::byte_budget{1000000})),
           executor({io.get_executor(), time, counters, configuration, target, connections,
                     asio::ip::make_address("127.0.0.1")}),
           server(io.get_executor(), identity, counters,
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -1,60 +1,44 @@
 #include "dandelionmount/connection/target_connection.h"
 
-#include "dandelionmount/connection/listen.h"
+#include "tests/support/raw_server.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <iterator>
 #include <optional>
+#include <vector>
 
 namespace dm = dandelionmount;
 namespace asio = boost::asio;
 namespace wire = dandelionmount::wire;
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 
 namespace {
 
-// A target that sends fixed bytes for each request, then keeps or closes the connection.
-struct target_fixture {
-    explicit target_fixture(std::string text, bool closes, dm::http_protocol protocol = {})
-        : answer(std::move(text)), closes_after(closes),
-          connections_to_target(io.get_executor(), time, 1000, std::move(protocol)) {
-        REQUIRE(dm::open_acceptor(acceptor, "127.0.0.1:0"));
-        asio::co_spawn(io, accept(), asio::detached);
-    }
-
-    asio::awaitable<void> accept() {
-        while (true) {
-            auto [error, socket] = co_await acceptor.async_accept(dm::as_result);
-            if (error) {
-                co_return;
-            }
-            ++connections;
-            asio::co_spawn(io, serve(std::move(socket)), asio::detached);
-        }
-    }
+// Calls to a target that sends fixed bytes.
+struct target_fixture : tests::raw_server {
+    explicit target_fixture(std::string text, bool closes, dm::http_protocol protocol = {},
+                            std::size_t most_answer_bytes = 1000)
+        : raw_server(std::move(text), closes),
+          connections_to_target(io.get_executor(), time, most_answer_bytes, memory, std::move(protocol)) {}
 
-    asio::awaitable<void> serve(tcp::socket socket) {
-        std::array<char, 4096> bytes{};
-        while (true) {
-            auto [error, count] = co_await socket.async_read_some(asio::buffer(bytes), dm::as_result);
-            if (error) {
-                ++closed_by_caller;
-                co_return;
-            }
-            received.append(bytes.data(), count);
-            auto [failed, written] = co_await asio::async_write(socket, asio::buffer(answer), dm::as_result);
-            if (closes_after) {
-                co_return;
-            }
-            if (reads_once) {
-                asio::steady_timer stays_open(io, std::chrono::hours(1));
-                co_await stays_open.async_wait(dm::as_result);
-            }
-        }
+    // Starts a call; its reply comes while the context runs.
+    std::shared_ptr<std::optional<wire::forward_reply>> start(dm::duration limit) {
+        auto reply = std::make_shared<std::optional<wire::forward_reply>>();
+        asio::co_spawn(
+            io,
+            [this, reply, limit]() -> asio::awaitable<void> {
+                wire::forward_request request;
+                request.set_method("GET");
+                request.set_path("/x");
+                const dm::target_address target{acceptor.local_endpoint(), {}};
+                auto answer = co_await connections_to_target.call(target, request, time.now() + limit,
+                                                                  std::make_shared<dm::cancel_token>());
+                *reply = std::move(answer);
+            },
+            asio::detached);
+        return reply;
     }
 
     wire::forward_reply
@@ -86,17 +70,9 @@
         return *reply;
     }
 
-    asio::io_context io{1};
-    tcp::acceptor acceptor{io};
-    std::string answer;
-    bool closes_after;
-    // Reads no more after the first bytes, and keeps the connection.
-    bool reads_once{false};
     std::string body;
-    int connections{0};
-    int closed_by_caller{0};
-    std::string received;
     dm::system_time_source time;
+    std::shared_ptr<dm::byte_budget> memory{std::make_shared<dm::byte_budget>(dm::byte_budget{2000})};
     dm::target_connections connections_to_target;
 };
 
@@ -127,6 +103,142 @@
     CHECK(reply.reason() == "target_answer_too_large");
 }
 
+// Guards against a request that waits until its deadline, and a process that reads all the while.
+TEST_CASE("A target that sends interim answers without end is given up on at once") {
+    target_fixture fixture("", false);
+    fixture.repeated = "HTTP/1.1 102 Processing\r\n\r\n";
+    const auto reply = fixture.call(false, milliseconds(1000));
+    CHECK(reply.outcome() == wire::unknown);
+    CHECK(reply.reason() == "target_lost");
+    fixture.io.run_for(milliseconds(50));
+    CHECK(fixture.closed_by_caller == 1);
+}
+
+// Guards against a limit on interim answers that cuts off the final answer behind a few of them.
+TEST_CASE("The final answer may stand behind a few interim ones") {
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    target_fixture fixture(interim + interim + interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                           false);
+    CHECK(fixture.call(false).body() == "ok");
+}
+
+// Guards against a parser that waits for more where the first bytes show that no answer will come.
+TEST_CASE("Bytes that do not begin an answer are given up on at once") {
+    for (const std::string_view text : {"g", "garbage", "HTTP/2", "\r\nHTTP/1.1 200 OK\r\n"}) {
+        CAPTURE(text);
+        target_fixture fixture(std::string(text), false);
+        const auto reply = fixture.call(false, milliseconds(500));
+        CHECK(reply.outcome() == wire::unknown);
+        CHECK(reply.reason() == "target_lost");
+        fixture.io.run_for(milliseconds(50));
+        CHECK(fixture.closed_by_caller == 1);
+    }
+    target_fixture endless("", false);
+    endless.repeated = std::string(4096, '\xa5');
+    CHECK(endless.call(false, milliseconds(1000)).reason() == "target_lost");
+    endless.io.run_for(milliseconds(50));
+    CHECK(endless.closed_by_caller == 1);
+}
+
+// Guards against an answer whose start comes in pieces and is taken for no answer.
+TEST_CASE("An answer may come byte by byte") {
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    target_fixture fixture(text, false);
+    fixture.sends_bytewise = true;
+    CHECK(fixture.call(false, milliseconds(1000)).body() == "ok");
+}
+
+// Guards against memory that grows until the deadline: a buffer holds what can't be parsed yet.
+TEST_CASE("A head, a chunk's header and trailers without end are given up on at once") {
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto check_endless = [](const std::string& start, const std::string& repeated) {
+        CAPTURE(start);
+        CAPTURE(repeated);
+        target_fixture fixture(start, false);
+        fixture.repeated = repeated;
+        const auto reply = fixture.call(false, milliseconds(1000));
+        CHECK(reply.outcome() == wire::unknown);
+        CHECK(reply.reason() == "target_answer_too_large");
+        fixture.io.run_for(milliseconds(50));
+        CHECK(fixture.closed_by_caller == 1);
+    };
+    check_endless("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n");
+    check_endless("HTTP/1.1 200 OK\r\nX-Long: ", "and more ");
+    check_endless("HTTP/1.1 200 ", "and more ");
+    check_endless(chunked + "1;", "extension");
+    check_endless(chunked + "0\r\n", "X-More: and more\r\n");
+}
+
+// Guards against bodies that are limited only when their length is known.
+TEST_CASE("A body without end is given up on at its limit") {
+    const auto check_endless = [](const std::string& start, const std::string& repeated) {
+        CAPTURE(start);
+        dm::http_protocol protocol;
+        protocol.accepts_unframed_answers = true;
+        target_fixture fixture(start, false, protocol);
+        fixture.repeated = repeated;
+        CHECK(fixture.call(false, milliseconds(1000)).reason() == "target_answer_too_large");
+        fixture.io.run_for(milliseconds(50));
+        CHECK(fixture.closed_by_caller == 1);
+    };
+    check_endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n");
+    check_endless("HTTP/1.1 200 OK\r\n\r\n", "more");
+}
+
+// Guards against answers that are small enough each and together use up the memory of the host.
+TEST_CASE("Answers that are received at the same time share their memory") {
+    for (const std::string_view start :
+         {"Content-Length: 900\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n384\r\n"}) {
+        CAPTURE(start);
+        target_fixture fixture("HTTP/1.1 200 OK\r\n" + std::string(start) + std::string(800, 'x'), false);
+        constexpr std::size_t calls = 6;
+        std::vector<std::shared_ptr<std::optional<wire::forward_reply>>> replies;
+        std::generate_n(std::back_inserter(replies), calls,
+                        [&] { return fixture.start(milliseconds(1000)); });
+        fixture.io.run_for(milliseconds(200));
+        const auto given_up = std::count_if(replies.begin(), replies.end(), [](const auto& reply) {
+            return *reply && (*reply)->reason() == "target_answer_too_large";
+        });
+        CHECK(given_up == calls - 1);
+        CHECK(fixture.closed_by_caller == calls - 1);
+        CHECK(fixture.memory->left == 1200);
+        fixture.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        CHECK(fixture.call(false).body() == "ok");
+        fixture.io.run_for(milliseconds(1000));
+        CHECK(fixture.memory->left == 2000);
+    }
+}
+
+// Guards against a deadline that is not looked at while bytes are always ready.
+TEST_CASE("An answer that goes on without end is given up on at the deadline") {
+    // So many chunks of one byte that the limit of the body is not reached in time.
+    constexpr std::size_t most_answer_bytes = 1024UL * 1024 * 1024;
+    target_fixture fixture("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false, {},
+                           most_answer_bytes);
+    fixture.memory->left = 2 * most_answer_bytes;
+    fixture.most_sent = most_answer_bytes;
+    fixture.repeated = "1\r\nx\r\n";
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(fixture.call(false, milliseconds(300)).reason() == "deadline");
+    CHECK(std::chrono::steady_clock::now() - began < milliseconds(600));
+    fixture.io.run_for(milliseconds(50));
+    CHECK(fixture.closed_by_caller == 1);
+}
+
+// Guards against a connection that is read until the deadline for an answer that other requests' bury.
+TEST_CASE("Answers to other requests without end are given up on at once") {
+    dm::http_protocol protocol;
+    protocol.request_header = "X-Id";
+    protocol.caller_names_request = true;
+    target_fixture fixture("", false, protocol);
+    fixture.repeated = "HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 2\r\n\r\nno";
+    const auto reply = fixture.call(false, milliseconds(1000));
+    CHECK(reply.outcome() == wire::unknown);
+    CHECK(reply.reason() == "target_lost");
+    fixture.io.run_for(milliseconds(50));
+    CHECK(fixture.closed_by_caller == 1);
+}
+
 TEST_CASE("A target that does not listen has run nothing") {
     target_fixture fixture("", false);
     const auto endpoint = fixture.acceptor.local_endpoint();
