Close idle connections to the target once a second when something came on them or their time is over

Callers saw no fault in an answer; but a target that sent bytes on a connection that waited in the pool filled its receive buffer, which counts as the host's memory, until the connection was next taken up. The pool hands out the newest connection first, so old ones could stay open for as long as the process lived, up to 64.

Cause: idle connections were looked at only when they were taken.

Before, with close_spoiled doing nothing: An idle connection on which bytes come is closed: closed_by_caller 0 == 1 An idle connection is closed when its time is over: closed_by_caller 0 == 1

The upkeep, which runs anyway, looks at them once a second by the same check as before use.

--- a/src/dandelionmount/connection/target_connection.cpp
+++ b/src/dandelionmount/connection/target_connection.cpp
@@ -139,14 +139,22 @@
     while (!idle_.empty()) {
         connection_pointer conn = std::move(idle_.back());
         idle_.pop_back();
-        // Bytes or an end that came while nothing was asked belong to no request.
-        if (time_.now() < conn->usable_until && is_quiet(conn->stream.socket())) {
+        if (is_usable(*conn)) {
             return conn;
         }
     }
     return nullptr;
 }
 
+bool target_connections::is_usable(connection& idle) const {
+    // Bytes or an end that came while nothing was asked belong to no request.
+    return time_.now() < idle.usable_until && is_quiet(idle.stream.socket());
+}
+
+void target_connections::close_spoiled() {
+    std::erase_if(idle_, [this](const connection_pointer& idle) { return !is_usable(*idle); });
+}
+
 void target_connections::keep(const connection_pointer& conn, const http_response& answer) {
     if (idle_.size() >= most_idle) {
         return;
--- a/src/dandelionmount/connection/target_connection.h
+++ b/src/dandelionmount/connection/target_connection.h
@@ -40,6 +40,8 @@
                                                      const wire::forward_request& request,
                                                      steady_time deadline,
                                                      std::shared_ptr<cancel_token> cancel);
+    /// Closes idle connections that can't be used any more: those on which something came, and old ones.
+    void close_spoiled();
     /// Drops idle connections, since the target behind them may be another one.
     void forget_idle() { idle_.clear(); }
 
@@ -62,6 +64,7 @@
     };
 
     [[nodiscard]] connection_pointer take_idle();
+    [[nodiscard]] bool is_usable(connection& idle) const;
     boost::asio::awaitable<connection_pointer> connect(boost::asio::ip::tcp::endpoint target,
                                                        steady_time deadline);
     boost::asio::awaitable<exchange_outcome> run(connection_pointer conn,
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -180,6 +180,7 @@
         rates_.report();
         if (round % upkeep_rounds_of_second == 0) {
             executor_.forget_old();
+            connections_.close_spoiled();
             co_await claims_.copy_records();
         }
     }
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -274,6 +274,9 @@
     for (int round = 1; !stopping_ || executor_.busy() > 0; ++round) {
         co_await sleep_for(io_.get_executor(), upkeep_interval);
         target_.check_silence();
+        if (round % rounds_of_second == 0) {
+            connections_.close_spoiled();
+        }
         update_pressure(pressure_, target_.guard(), time_.now());
         update_demands(target_.guard(), time_.now());
         if (!peers_open_) {
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -225,6 +225,30 @@
     CHECK(fixture.closed_by_caller == 1);
 }
 
+// Guards against a connection that nobody uses and that fills with bytes until it is taken up again.
+TEST_CASE("An idle connection on which bytes come is closed") {
+    target_fixture fixture("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+    fixture.pause = milliseconds(30);
+    fixture.repeated = "more";
+    CHECK(fixture.call(true).body() == "ok");
+    fixture.connections_to_target.close_spoiled();
+    CHECK(fixture.closed_by_caller == 0);
+    fixture.io.run_for(milliseconds(60));
+    fixture.connections_to_target.close_spoiled();
+    fixture.io.run_for(milliseconds(50));
+    CHECK(fixture.closed_by_caller == 1);
+}
+
+// Guards against idle connections that stay open, since newer ones are used before them.
+TEST_CASE("An idle connection is closed when its time is over") {
+    target_fixture fixture("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+    CHECK(fixture.call(true).body() == "ok");
+    fixture.io.run_for(milliseconds(600));
+    fixture.connections_to_target.close_spoiled();
+    fixture.io.run_for(milliseconds(50));
+    CHECK(fixture.closed_by_caller == 1);
+}
+
 // Guards against a connection that is read until the deadline for an answer that other requests' bury.
 TEST_CASE("Answers to other requests without end are given up on at once") {
     dm::http_protocol protocol;
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -50,6 +50,7 @@
                 co_return;
             }
             if (!repeated.empty()) {
+                co_await dandelionmount::sleep_for(io.get_executor(), pause);
                 co_await send_without_end(socket);
                 co_return;
             }
@@ -96,8 +97,9 @@
     // Reads no more after the first bytes, and keeps the connection.
     bool reads_once{false};
     bool sends_bytewise{false};
-    // Follows the answer again and again.
+    // Follows the answer again and again, after a pause.
     std::string repeated;
+    std::chrono::milliseconds pause{0};
     std::size_t most_sent{4UL * 1024 * 1024};
     int connections{0};
     int closed_by_caller{0};
