Let the HTTP client take only final answers, and nothing behind them as the answer to the next request

A host that asked the store could take an interim answer, or stray bytes behind an earlier answer, for the answer to its request, so that it read records that belong to another question. Bytes without end held a read past its time limit and grew the buffer.

Cause: the client took whatever message came first. It checked the socket for unread bytes before it used its connection again, but not its own buffer.

The client uses receive_answer, and keeps a connection only with nothing behind the answer.

--- a/src/dandelionmount/connection/http_client.cpp
+++ b/src/dandelionmount/connection/http_client.cpp
@@ -1,12 +1,11 @@
 #include "dandelionmount/connection/http_client.h"
 
 #include "dandelionmount/connection/address.h"
+#include "dandelionmount/connection/answer_receiver.h"
 #include "dandelionmount/connection/async_event.h"
 #include "dandelionmount/connection/socket_options.h"
 
 #include <boost/asio/this_coro.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace dandelionmount {
@@ -26,7 +25,8 @@
     if (fresh) {
         open_.emplace(executor);
     }
-    open_->stream.expires_after(limit);
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    open_->stream.expires_at(deadline);
     if (fresh) {
         const auto connected = co_await connect();
         if (!connected) {
@@ -36,13 +36,16 @@
     }
     request.set(http::field::host, address_);
     request.prepare_payload();
-    auto answer = co_await exchange_on(*open_, request);
-    if (!answer || !answer.value().keep_alive()) {
+    auto answer = co_await exchange_on(*open_, request, deadline);
+    if (!answer || !answer.value().keep_alive) {
         open_.reset();
     } else {
         open_->stream.expires_never();
     }
-    co_return answer;
+    if (!answer) {
+        co_return answer.error();
+    }
+    co_return std::move(answer.value().message);
 }
 
 asio::awaitable<result<void>> http_client::connect() {
@@ -60,19 +63,19 @@
     co_return boost::outcome_v2::success();
 }
 
-asio::awaitable<result<http_response>> http_client::exchange_on(connection& open,
-                                                                const http_request& request) {
+asio::awaitable<result<received_answer>>
+http_client::exchange_on(connection& open, const http_request& request, steady_time deadline) {
     auto [write_error, written] = co_await http::async_write(open.stream, request, as_result);
     if (write_error) {
         co_return failure{"send: " + write_error.message()};
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(most_answer_bytes_);
-    auto [read_error, count] = co_await http::async_read(open.stream, open.buffer, parser, as_result);
-    if (read_error) {
-        co_return failure{"receive: " + read_error.message()};
+    const answer_limits limits{most_answer_bytes_, deadline};
+    const bool answers_head = request.method() == http::verb::head;
+    auto answer = co_await receive_answer(open.stream, open.buffer, answers_head, limits);
+    if (answer.error) {
+        co_return failure{"receive: " + answer.error.message()};
     }
-    co_return parser.release();
+    co_return answer;
 }
 
 asio::awaitable<result<http_response>> http_exchange(std::string address, http_request request,
--- a/src/dandelionmount/connection/http_client.h
+++ b/src/dandelionmount/connection/http_client.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONMOUNT_CONNECTION_HTTP_CLIENT_H
 #define DANDELIONMOUNT_CONNECTION_HTTP_CLIENT_H
 
+#include "dandelionmount/connection/answer_receiver.h"
 #include "dandelionmount/connection/http_headers.h"
 #include "dandelionmount/process/result.h"
 
@@ -27,11 +28,12 @@
     struct connection {
         explicit connection(const boost::asio::any_io_executor& executor) : stream(executor) {}
         boost::beast::tcp_stream stream;
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer{most_unparsed_bytes};
     };
 
     boost::asio::awaitable<result<void>> connect();
-    boost::asio::awaitable<result<http_response>> exchange_on(connection& open, const http_request& request);
+    boost::asio::awaitable<result<received_answer>> exchange_on(connection& open, const http_request& request,
+                                                                steady_time deadline);
 
     std::string address_;
     std::size_t most_answer_bytes_;
--- /dev/null
+++ b/tests/connection/http_client_test.cpp
@@ -0,0 +1,92 @@
+#include "dandelionmount/connection/http_client.h"
+
+#include "tests/support/raw_server.h"
+
+#include <doctest/doctest.h>
+#include <optional>
+
+namespace dm = dandelionmount;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t most_answer_bytes = 1000;
+
+// A client of a server that sends fixed bytes.
+struct client_fixture : tests::raw_server {
+    explicit client_fixture(std::string text) : raw_server(std::move(text)) {}
+
+    dm::result<dm::http_response> exchange(dm::duration limit) {
+        std::optional<dm::result<dm::http_response>> answer;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                dm::http_request request{http::verb::get, "/x", 11};
+                answer = co_await client.exchange(std::move(request), limit);
+            },
+            asio::detached);
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+        while (!answer && std::chrono::steady_clock::now() < until) {
+            io.run_for(milliseconds(2));
+        }
+        REQUIRE(answer);
+        return *answer;
+    }
+
+    dm::http_client client{"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                           most_answer_bytes};
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("connection");
+
+// Guards against bytes behind an answer that are taken for the answer to the next request.
+TEST_CASE("Bytes behind an answer end the client's connection") {
+    client_fixture fixture("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+                           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+    for (int round = 0; round < 2; ++round) {
+        const auto answer = fixture.exchange(milliseconds(500));
+        REQUIRE(answer);
+        CHECK(answer.value().body() == "own");
+    }
+    CHECK(fixture.connections == 2);
+}
+
+// Guards against an interim answer that is taken for the final one.
+TEST_CASE("The client waits for the final answer, behind a few interim ones") {
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    client_fixture fixture(interim + interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    const auto answer = fixture.exchange(milliseconds(500));
+    REQUIRE(answer);
+    CHECK(answer.value().body() == "ok");
+    CHECK(fixture.exchange(milliseconds(500)).has_value());
+    CHECK(fixture.connections == 1);
+}
+
+// Guards against memory that grows, and an exchange that goes on, until the time limit.
+TEST_CASE("The client gives up at once on bytes that come without end") {
+    const auto check_endless = [](const std::string& start, const std::string& repeated) {
+        CAPTURE(start);
+        CAPTURE(repeated);
+        client_fixture fixture(start);
+        fixture.repeated = repeated;
+        const auto began = std::chrono::steady_clock::now();
+        CHECK_FALSE(fixture.exchange(milliseconds(1500)));
+        CHECK(std::chrono::steady_clock::now() - began < milliseconds(1000));
+        fixture.io.run_for(milliseconds(50));
+        CHECK(fixture.closed_by_caller == 1);
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    check_endless("", "HTTP/1.1 102 Processing\r\n\r\n");
+    check_endless("", "garbage");
+    check_endless("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n");
+    check_endless(chunked + "1;", "extension");
+    check_endless(chunked + "0\r\n", "X-More: and more\r\n");
+    check_endless(chunked, "4\r\nmore\r\n");
+    check_endless("HTTP/1.1 200 OK\r\n\r\n", "more");
+}
+
+TEST_SUITE_END();
