--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -51,7 +51,10 @@
 // Delays of the event loop that are worth a line: well below the silence after which a peer gives a link up.
 constexpr duration logged_loop_delay = std::chrono::milliseconds(250);
 constexpr duration quiet_poll = std::chrono::milliseconds(20);
-constexpr std::size_t most_answer_bytes = 64UL * 1024 * 1024;
+// Bytes of one answer's body: eight times the largest body that configurations usually let callers send.
+constexpr std::size_t most_answer_bytes = 8UL * 1024 * 1024;
+// Bytes of all answers that are being received: a fifth of the memory of the smallest hosts, 160 MB.
+constexpr std::size_t most_received_bytes = 32UL * 1024 * 1024;
 constexpr unsigned ok = 200;
 constexpr unsigned bad_request = 400;
 constexpr unsigned not_found = 404;
@@ -98,7 +101,8 @@
           {io.get_executor(), identity_, time, counters_, true, true,
            [this](const std::string& host, bool reachable) { dispatcher_.note_reachable(host, reachable); }},
           members_),
-      connections_(io.get_executor(), time, most_answer_bytes, adapter.protocol),
+      connections_(io.get_executor(), time, most_answer_bytes,
+                   std::make_shared<byte_budget>(byte_budget{most_received_bytes}), adapter.protocol),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
                  ip_of(own.target_address), &pressure_}),
       dispatcher_(make_dispatcher_context(time, counters_, configuration_, members_, peers_, executor_,
@@ -275,6 +279,9 @@
         co_await sleep_for(io_.get_executor(), upkeep_interval);
         note_loop_delay(time_.now() - due);
         target_.check_silence();
+        if (round % rounds_of_second == 0) {
+            connections_.close_spoiled();
+        }
         update_pressure(pressure_, target_.guard(), time_.now());
         update_demands(target_.guard(), time_.now());
         if (!peers_open_) {
