Let only the present link of a host say whether it can be reached, and close a link retired while it connects

Found by the review of the links that live on while replies are owed. What callers would have seen: a host that was listed again gets no request, as the end of its former link was taken for the end of the present one; and connections opened for hosts that had left stayed open.

A retired link says that the host is unreachable at the moment at which it is retired, and nothing later.

--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -108,6 +108,9 @@
 
 void peer_link::retire() {
     stopped_ = true;
+    if (context_.on_reachable) {
+        context_.on_reachable(host_, false);
+    }
     close_if_retired();
 }
 
@@ -154,12 +157,11 @@
     const bool opened = co_await open_connection();
     connecting_ = false;
     connect_done_.set();
-    if (context_.on_reachable) {
-        context_.on_reachable(host_, opened);
-    }
+    note_reachable(opened);
     if (!opened) {
         co_return;
     }
+    close_if_retired();
     try_pause_ = duration{0};
     auto stream = stream_;
     asio::co_spawn(
@@ -262,6 +264,13 @@
     found->second->changed.set();
 }
 
+// The host's next link speaks for it once this one is retired.
+void peer_link::note_reachable(bool reachable) const {
+    if (context_.on_reachable && !stopped_) {
+        context_.on_reachable(host_, reachable);
+    }
+}
+
 void peer_link::log_loss() const {
     const auto now = context_.time.now();
     const bool silent = unanswered_since_ && now - *unanswered_since_ > silence_limit;
@@ -292,9 +301,7 @@
         stream_->close();
     }
     stream_.reset();
-    if (context_.on_reachable) {
-        context_.on_reachable(host_, false);
-    }
+    note_reachable(false);
     const auto pending = pending_;
     for (const auto& [key, waiting] : pending) {
         waiting->broken = true;
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -75,6 +75,7 @@
     void take_frame(wire::peer_frame frame);
     void connection_ended();
     void close_if_retired();
+    void note_reachable(bool reachable) const;
     void log_loss() const;
     void log_settlement(const wire::forward_request& request, settle_outcome outcome, duration took) const;
     pending_pointer add_pending(const std::string& key);
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -349,6 +349,47 @@
     CHECK(fixture.told["leaving"] == wire::ran);
 }
 
+// Guards against a host that was left out for good: the end of its former link was taken for the end of its
+// present one.
+TEST_CASE("The end of a retired link says nothing of the host that is listed again") {
+    link_fixture fixture(1, true);
+    fixture.least_work = milliseconds(300);
+    bool reachable = false;
+    const dm::peer_link_context context{
+        fixture.io.get_executor(),
+        fixture.sender,
+        fixture.time,
+        fixture.counters,
+        true,
+        false,
+        [&](const std::string&, bool is_reachable) { reachable = is_reachable; }};
+    fixture.link->stop();
+    fixture.link = std::make_shared<dm::peer_link>(context, "receiver", host_address);
+    asio::co_spawn(fixture.io, fixture.send("owed", std::chrono::seconds(2)), asio::detached);
+    fixture.io.run_for(milliseconds(100));
+    REQUIRE(reachable);
+    fixture.link->retire();
+    CHECK_FALSE(reachable);
+    const auto next = std::make_shared<dm::peer_link>(context, "receiver", host_address);
+    next->keep_connected();
+    REQUIRE(fixture.run_until_quiet(std::chrono::seconds(4)));
+    fixture.io.run_for(milliseconds(100));
+    CHECK(fixture.told["owed"] == wire::ran);
+    CHECK_FALSE(fixture.link->is_connected());
+    CHECK(next->is_connected());
+    CHECK(reachable);
+    next->stop();
+}
+
+// Guards against connections to hosts that left, opened for nobody and never closed.
+TEST_CASE("A link that is retired while it connects is closed") {
+    link_fixture fixture(1, true);
+    fixture.link->keep_connected();
+    fixture.link->retire();
+    fixture.io.run_for(milliseconds(200));
+    CHECK_FALSE(fixture.link->is_connected());
+}
+
 // Guards against a host that is late itself and takes the others for silent: it gave up all its links at
 // once.
 TEST_CASE("A host that did not run for a while keeps its connections to the others") {
