Allow answers of 16 MB on the store platform, and end the taking of requests within 3 s of a stop

The limit of 8 MB that came with the budget of answers in receipt was below the 12 MB of a test of planned stops, and so took away what that test proves. One answer may have a tenth of the memory of the smallest hosts, all together three tenths.

A stopping host took requests for up to 3.1 s where nobody asks for its readiness; runs of requests sent later than 3 s after the signal must not be cut. It is 2.8 s now, checked when it is compiled.

--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -41,9 +41,12 @@
 // A stopping host goes on taking requests until the platform has asked twice and was told that it is not
 // ready, but not longer than this.
 constexpr int questions_until_out = 2;
-constexpr duration most_stop_grace = std::chrono::milliseconds(2800);
+constexpr duration most_stop_grace = std::chrono::milliseconds(2500);
 // Requests that callers sent before they knew arrive within this time.
 constexpr duration last_requests_time = std::chrono::milliseconds(300);
+// Runs of requests that were sent within 3 s of the signal may be cut at the end of the platform's grace
+// period.
+static_assert(most_stop_grace + last_requests_time < std::chrono::seconds(3));
 // Kept free of the time that a stop may take, so that the process ends by itself.
 constexpr duration stop_margin = std::chrono::milliseconds(800);
 // How long the end waits for the store to take this host's record away.
@@ -51,10 +54,10 @@
 // Delays of the event loop that are worth a line: well below the silence after which a peer gives a link up.
 constexpr duration logged_loop_delay = std::chrono::milliseconds(250);
 constexpr duration quiet_poll = std::chrono::milliseconds(20);
-// Bytes of one answer's body: eight times the largest body that configurations usually let callers send.
-constexpr std::size_t most_answer_bytes = 8UL * 1024 * 1024;
-// Bytes of all answers that are being received: a fifth of the memory of the smallest hosts, 160 MB.
-constexpr std::size_t most_received_bytes = 32UL * 1024 * 1024;
+// Bytes of one answer's body: a tenth of the memory of the smallest hosts, 160 MB.
+constexpr std::size_t most_answer_bytes = 16UL * 1024 * 1024;
+// Bytes of all answers that are being received: three tenths of it.
+constexpr std::size_t most_received_bytes = 48UL * 1024 * 1024;
 constexpr unsigned ok = 200;
 constexpr unsigned bad_request = 400;
 constexpr unsigned not_found = 404;
