Answer a request whose handler fails, and refuse TRACE with a body

What callers saw: an exception in the task of a connection was dropped with the task. The caller got no answer, the connection counted as working for good, and every later stop of the host lasted to its limit. A TRACE request with a body does it: the HTTP library throws when the message for the target is made.

Now a failed handler is logged and answered with 500, and TRACE with a body, which RFC 9110 forbids, is refused with 400. The tests failed before: no answer and busy() 1; 504 in place of 400.

--- a/src/dandelionmount/connection/caller_server.cpp
+++ b/src/dandelionmount/connection/caller_server.cpp
@@ -61,8 +61,10 @@
 reason caller_server::check_form(const http_request& request) const {
     const bool unnamed = context_.protocol.caller_names_request && request_name(request).empty();
     const std::string path(request.target());
-    if (unnamed || has_ambiguous_headers(request, context_.protocol) || has_dot_segment(path) ||
-        idempotency_key_of(request).size() > most_idempotency_key) {
+    // RFC 9110, section 9.3.8; the HTTP library refuses to pass it on.
+    const bool traces_body = request.method() == boost::beast::http::verb::trace && !request.body().empty();
+    if (unnamed || traces_body || has_ambiguous_headers(request, context_.protocol) ||
+        has_dot_segment(path) || idempotency_key_of(request).size() > most_idempotency_key) {
         return reason::bad_request;
     }
     return reason::none;
--- a/src/dandelionmount/connection/http_server.cpp
+++ b/src/dandelionmount/connection/http_server.cpp
@@ -153,21 +153,40 @@
     if (connections_.size() > limits_.connections) {
         co_await refuse(conn, reason::connection_limit);
     } else {
-        bool open = true;
-        while (open) {
-            http_request request;
-            const auto received = co_await receive(conn, request);
-            open = received == receive_outcome::request;
-            if (open) {
-                open = co_await answer(conn, std::move(request));
-            }
-        }
+        co_await serve_requests(conn);
     }
     conn->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     conn->stream.close();
     connections_.erase(conn);
 }
 
+asio::awaitable<void> http_server::serve_requests(connection_pointer conn) {
+    bool open = true;
+    while (open) {
+        http_request request;
+        const auto received = co_await receive(conn, request);
+        open = received == receive_outcome::request;
+        if (open) {
+            open = co_await answer(conn, std::move(request));
+        }
+    }
+}
+
+// A handler that fails must leave its caller an answer and the connection's task running.
+asio::awaitable<http_response> http_server::handle(http_request request,
+                                                   std::shared_ptr<cancel_token> cancel) {
+    std::string failed;
+    try {
+        auto response = co_await handler_(std::move(request), std::move(cancel));
+        co_return response;
+    } catch (const std::exception& error) {
+        failed = error.what();
+    }
+    constexpr unsigned internal_error = 500;
+    log_event(log_level::error, "handler failed", {{"cause", failed}});
+    co_return make_text_answer(internal_error, "text/plain", "internal error\n");
+}
+
 asio::awaitable<http_server::receive_outcome> http_server::receive(connection_pointer conn,
                                                                    http_request& request) {
     const auto first_error = co_await wait_for_first_bytes(conn);
@@ -245,7 +264,7 @@
     auto cancel = std::make_shared<cancel_token>();
     auto done = std::make_shared<bool>(false);
     asio::co_spawn(executor_, watch(conn, cancel, done), asio::detached);
-    http_response response = co_await handler_(std::move(request), cancel);
+    http_response response = co_await handle(std::move(request), cancel);
     *done = true;
     boost::system::error_code ignored;
     conn->stream.socket().cancel(ignored);
--- a/src/dandelionmount/connection/http_server.h
+++ b/src/dandelionmount/connection/http_server.h
@@ -65,6 +65,8 @@
 
     boost::asio::awaitable<void> accept_connections();
     boost::asio::awaitable<void> serve(connection_pointer conn);
+    boost::asio::awaitable<void> serve_requests(connection_pointer conn);
+    boost::asio::awaitable<http_response> handle(http_request request, std::shared_ptr<cancel_token> cancel);
     boost::asio::awaitable<receive_outcome> receive(connection_pointer conn, http_request& request);
     boost::asio::awaitable<boost::system::error_code> wait_for_first_bytes(connection_pointer conn);
     boost::asio::awaitable<boost::system::error_code>
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -76,11 +76,15 @@
     int cancelled{0};
     // Bytes of an answer beside its path.
     std::size_t answer_bytes{0};
+    bool throws{false};
     dm::http_server server{io.get_executor(), small_limits(), counters,
                            [this](dm::http_request request, std::shared_ptr<dm::cancel_token> cancel)
                                -> asio::awaitable<dm::http_response> {
                                cancel->on_request([this] { ++cancelled; });
                                co_await dm::sleep_for(io.get_executor(), milliseconds(60));
+                               if (throws) {
+                                   throw std::runtime_error("no answer can be made");
+                               }
                                co_return dm::make_text_answer(200, "text/plain",
                                                               "[" + std::string(request.target()) + "]" +
                                                                   std::string(answer_bytes, 'x'));
@@ -181,6 +185,17 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a failed task that left its caller without an answer, and every later stop without an end.
+TEST_CASE("A handler that throws leaves its caller an answer") {
+    server_fixture fixture;
+    fixture.throws = true;
+    auto socket = fixture.connect();
+    const std::string answer =
+        fixture.exchange(socket, "GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", false);
+    CHECK(answer.find("500") != std::string::npos);
+    CHECK(fixture.server.busy() == 0);
+}
+
 // Guards against a stop that ends while the last answers are being written: their callers lost them.
 TEST_CASE("A request counts until its answer is written whole") {
     server_fixture fixture;
--- a/tests/system/store_test.py
+++ b/tests/system/store_test.py
@@ -249,6 +249,14 @@
         self.assertEqual(self.fleet.nodes[1].wait(6), 0)
         self.assertLess(time.monotonic() - began, 4)
 
+    # Guards against a request that can't be passed on: it held its caller until the timeout, and a slot of its target for good.
+    def test_a_trace_with_a_body_is_refused(self):
+        self.start()
+        caller = RawCaller(self.fleet.ips[0])
+        caller.send_head("TRACE", "/read/x", 4)
+        caller.socket.sendall(b"body")
+        self.assertEqual(caller.read()[0], 400)
+
     # Guards against a request that is taken late in a stop and cut when the host ends.
     def test_a_stopping_host_refuses_what_may_outlast_it(self):
         self.start()
