Share one retry budget a service over the whole fleet

Cause: each host kept a budget of its own for each service. Hosts without failures kept theirs unused, and at 195 hosts the capacity was one retry.

Change: the hosts that allocate the accounts' rates grant retry tokens, too. Hosts report their requests and repeats of the window as totals, so a lost report changes nothing and a new allocator knows the fleet after one round. Calls of repeated runs count as repeats at the called service, in place of halving the budget at each hop. Without an allocator a host uses its own part.

--- a/src/dandelionmount/process/fleet_limiter.cpp
+++ b/src/dandelionmount/process/fleet_limiter.cpp
@@ -33,6 +33,10 @@
     return rendezvous_weight("account", account) % account_group_count;
 }
 
+std::size_t fleet_limiter::group_of_service(std::string_view service) const {
+    return rendezvous_weight("retries", service) % account_group_count;
+}
+
 // Chooses for each group the host of highest rendezvous weight among this host and those connected to it; all
 // hosts that see the same fleet choose the same ones.
 void fleet_limiter::choose_allocators() {
@@ -88,7 +92,7 @@
         co_return false;
     }
     quota.last_urgent_request_at = now;
-    co_await report_to(group_of(account), account);
+    co_await send_report({group_of(account), account, {}});
     // The configuration may have changed while the report was under way.
     settings = find_account(context_.configuration.current(), account);
     const bool admitted = settings != nullptr && take_token(*settings);
@@ -109,12 +113,29 @@
     return std::clamp(from_seconds(to_seconds(min_retry_delay) * pressure), min_retry_delay, max_retry_delay);
 }
 
-wire::rate_report fleet_limiter::make_report(std::size_t group, std::string_view urgent_account) {
+bool fleet_limiter::is_retry_allocator_reachable(std::string_view service) const {
+    return allocators_[group_of_service(service)].reachable_until > context_.time.now_with_suspension();
+}
+
+asio::awaitable<void> fleet_limiter::report_retries(std::string service) {
+    co_await send_report({group_of_service(service), {}, service});
+}
+
+wire::rate_report fleet_limiter::make_report(const report_scope& scope) {
     const auto now = context_.time.now_with_suspension();
     wire::rate_report report;
     report.set_call(next_call_++);
+    context_.retries.write_usages(
+        report,
+        [this, &scope](std::string_view service) {
+            return scope.is_regular() ? group_of_service(service) == scope.group
+                                      : service == scope.urgent_service;
+        },
+        scope.urgent_service);
     for (auto& [account, quota] : quotas_) {
-        if (group_of(account) != group || (!urgent_account.empty() && account != urgent_account)) {
+        const bool is_included =
+            scope.is_regular() ? group_of(account) == scope.group : account == scope.urgent_account;
+        if (!is_included) {
             continue;
         }
         update_demand(quota, now);
@@ -124,7 +145,7 @@
         auto* usage = report.add_accounts();
         usage->set_account(account);
         usage->set_demand(quota.demand);
-        usage->set_wanted(wanted_tokens(quota, account == urgent_account, now));
+        usage->set_wanted(wanted_tokens(quota, account == scope.urgent_account, now));
     }
     return report;
 }
@@ -132,17 +153,18 @@
 void fleet_limiter::report() {
     choose_allocators();
     for (std::size_t group = 0; group < account_group_count; ++group) {
-        asio::co_spawn(context_.executor, report_to(group, {}), asio::detached);
+        asio::co_spawn(context_.executor, send_report({group, {}, {}}), asio::detached);
     }
 }
 
-asio::awaitable<void> fleet_limiter::report_to(std::size_t group, std::string urgent_account) {
+asio::awaitable<void> fleet_limiter::send_report(report_scope scope) {
+    const std::size_t group = scope.group;
     if (allocators_[group].host != context_.members.self.host() &&
         !context_.peers.is_connected(allocators_[group].host)) {
         choose_allocators();
     }
     const auto requested_at = context_.time.now_with_suspension();
-    wire::rate_report report = make_report(group, urgent_account);
+    wire::rate_report report = make_report(scope);
     const std::string host = allocators_[group].host;
     if (host == context_.members.self.host()) {
         wire::rate_grants grants = allocate(report, host);
@@ -158,10 +180,10 @@
     wire::peer_frame frame;
     const std::uint64_t call = report.call();
     *frame.mutable_rate_report() = std::move(report);
-    if (urgent_account.empty()) {
+    if (scope.is_regular()) {
         context_.targets.write_measurements(*frame.mutable_rate_report());
     }
-    const duration timeout = urgent_account.empty() ? report_timeout : urgent_report_timeout;
+    const duration timeout = scope.is_regular() ? report_timeout : urgent_report_timeout;
     const auto reply = co_await link->call(frame, call_key(call), context_.time.now() + timeout);
     if (reply && reply->has_rate_grants()) {
         apply_grants(group, reply->rate_grants(), requested_at);
@@ -175,6 +197,7 @@
     const auto now = context_.time.now_with_suspension();
     const auto reachable_until = requested_at + std::chrono::milliseconds(grants.in_touch_ms());
     allocators_[group].reachable_until = std::max(allocators_[group].reachable_until, reachable_until);
+    context_.retries.read_grants(grants, requested_at);
     for (const auto& grant : grants.accounts()) {
         host_quota& quota = quotas_[grant.account()];
         quota.pressure = grant.pressure();
@@ -182,16 +205,22 @@
     }
 }
 
-wire::rate_grants fleet_limiter::allocate(const wire::rate_report& report, std::string_view host) {
+double fleet_limiter::record_reporting_host(std::string_view host) {
     const auto now = context_.time.now_with_suspension();
     hosts_reachable_until_[std::string(host)] = now + reachability_validity;
     std::erase_if(hosts_reachable_until_, [now](const auto& entry) { return entry.second < now; });
-    const double reachable_fraction =
-        std::min(1.0, static_cast<double>(hosts_reachable_until_.size()) / static_cast<double>(fleet_size()));
+    return std::min(1.0,
+                    static_cast<double>(hosts_reachable_until_.size()) / static_cast<double>(fleet_size()));
+}
+
+wire::rate_grants fleet_limiter::allocate(const wire::rate_report& report, std::string_view host) {
+    const auto now = context_.time.now_with_suspension();
+    const double reachable_fraction = record_reporting_host(host);
     wire::rate_grants grants;
     grants.set_call(report.call());
     grants.set_valid_ms(to_milliseconds(token_validity));
     grants.set_in_touch_ms(to_milliseconds(reachability_validity));
+    context_.retries.allocate(report, host, reachable_fraction, grants);
     for (const auto& usage : report.accounts()) {
         const auto* settings = find_account(context_.configuration.current(), usage.account());
         if (settings == nullptr || settings->rate <= 0) {
--- a/src/dandelionmount/process/fleet_limiter.h
+++ b/src/dandelionmount/process/fleet_limiter.h
@@ -6,6 +6,7 @@
 #include "dandelionmount/connection/peer_handshake.h"
 #include "dandelionmount/process/account_limiter.h"
 #include "dandelionmount/process/configuration_store.h"
+#include "dandelionmount/process/fleet_retry_limiter.h"
 #include "dandelionmount/process/membership.h"
 #include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/peer_directory.h"
@@ -33,6 +34,8 @@
     topic_sharing& topics;
     /// Exchanges the measurements of targets in reports, and outliers in the answers.
     outlier_detector& targets;
+    /// Exchanges the usage of retries in reports, and retry tokens in the answers.
+    fleet_retry_limiter& retries;
 };
 
 /// Account limiter for platforms with a record store.
@@ -56,6 +59,10 @@
     [[nodiscard]] bool is_rate_allocator() const;
     /// Reports this host's demand; called several times a second.
     void report();
+    /// Whether the allocator of a service's retries counts as reachable.
+    [[nodiscard]] bool is_retry_allocator_reachable(std::string_view service) const;
+    /// Reports the usage of a service's retries between the regular reports, to get a retry token.
+    boost::asio::awaitable<void> report_retries(std::string service);
 
 private:
     /// State of one rate allocator as seen by this host.
@@ -64,19 +71,31 @@
         steady_time reachable_until;
     };
 
+    /// What a report covers: everything of a group, or between the regular reports only what a request waits
+    /// for.
+    struct report_scope {
+        std::size_t group{0};
+        std::string urgent_account;
+        std::string urgent_service;
+
+        [[nodiscard]] bool is_regular() const { return urgent_account.empty() && urgent_service.empty(); }
+    };
+
     /// Group of accounts that one rate allocator handles.
     [[nodiscard]] std::size_t group_of(std::string_view account) const;
+    /// Group of services whose retries one rate allocator handles.
+    [[nodiscard]] std::size_t group_of_service(std::string_view service) const;
     [[nodiscard]] std::size_t fleet_size() const { return context_.members.others.size() + 1; }
     void choose_allocators();
     /// Whether the account's rate allocator counts as reachable.
     [[nodiscard]] bool is_allocator_reachable(std::string_view account, steady_time now) const;
     bool take_token(const account_settings& account);
-    /// Reports the demand of a group, or between the regular reports only that of `urgent_account`, which is
-    /// empty otherwise.
-    boost::asio::awaitable<void> report_to(std::size_t group, std::string urgent_account);
-    [[nodiscard]] wire::rate_report make_report(std::size_t group, std::string_view urgent_account);
+    boost::asio::awaitable<void> send_report(report_scope scope);
+    [[nodiscard]] wire::rate_report make_report(const report_scope& scope);
     void apply_grants(std::size_t group, const wire::rate_grants& grants, steady_time requested_at);
     [[nodiscard]] wire::rate_grants allocate(const wire::rate_report& report, std::string_view host);
+    /// Records that a host reports to this one; returns the fraction of the fleet's hosts that do.
+    [[nodiscard]] double record_reporting_host(std::string_view host);
     [[nodiscard]] fleet_rate_limit rate_limit_of(const account_settings& account) const;
 
     fleet_limiter_context context_;
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -70,8 +70,9 @@
                    std::make_shared<byte_budget>(received_responses_budget(own.limits))),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
                  ip_of(own.target_address)}),
-      dispatcher_(
-          {time, counters_, configuration_, members_, peers_, executor_, random_, own.mechanisms.allowance}),
+      retry_limiter_(configuration_),
+      dispatcher_({time, counters_, configuration_, members_, peers_, executor_, random_, retry_limiter_,
+                   own.mechanisms.allowance}),
       rates_({io.get_executor(), time, counters_, configuration_, members_, peers_, lease_}),
       claims_({io.get_executor(), time, configuration_, members_, peers_}),
       gossip_({io.get_executor(), time, counters_, identity_, members_, lease_, configuration_, random_,
--- a/src/dandelionmount/process/node.h
+++ b/src/dandelionmount/process/node.h
@@ -17,6 +17,7 @@
 #include "dandelionmount/process/rate_service.h"
 #include "dandelionmount/process/settings.h"
 #include "dandelionmount/request/dispatcher.h"
+#include "dandelionmount/request/local_retry_limiter.h"
 #include "dandelionmount/request/executor.h"
 
 #include <boost/asio/io_context.hpp>
@@ -56,6 +57,7 @@
     peer_directory peers_;
     target_connections connections_;
     executor executor_;
+    local_retry_limiter retry_limiter_;
     dispatcher dispatcher_;
     rate_service rates_;
     claim_service claims_;
--- a/src/dandelionmount/process/service_pressure.cpp
+++ b/src/dandelionmount/process/service_pressure.cpp
@@ -63,13 +63,16 @@
     load.arrived += weight > 0 ? 1 : 0;
 }
 
-void record_start(service_pressure& pressure, std::string_view route) {
-    ++load_of(pressure, route).running;
+void record_start(service_pressure& pressure, std::string_view route, double repeat_share) {
+    route_load& load = load_of(pressure, route);
+    ++load.running;
+    load.running_repeats += repeat_share;
 }
 
-void record_end(service_pressure& pressure, std::string_view route, duration elapsed) {
+void record_end(service_pressure& pressure, std::string_view route, double repeat_share, duration elapsed) {
     route_load& load = load_of(pressure, route);
     load.running -= load.running > 0 ? 1 : 0;
+    load.running_repeats = std::max(0.0, load.running_repeats - repeat_share);
     const double seconds = to_seconds(elapsed);
     load.run_time = load.run_time == 0 ? seconds : load.run_time + ewma_weight * (seconds - load.run_time);
 }
@@ -127,6 +130,17 @@
     return highest;
 }
 
+double repeat_share_of_calls(const service_pressure& pressure, std::string_view service) {
+    double repeats = 0;
+    double running = 0;
+    for (const auto& [route, load] : pressure.routes) {
+        const double calls = calls_per_second(pressure.attribution, route, service);
+        repeats += calls * load.running_repeats;
+        running += calls * load.running;
+    }
+    return running > 0 ? std::min(1.0, repeats / running) : 0;
+}
+
 double call_weight(const service_pressure& pressure, std::string_view service) {
     double demanded = 0;
     double arrived = 0;
--- a/src/dandelionmount/process/service_pressure.h
+++ b/src/dandelionmount/process/service_pressure.h
@@ -30,6 +30,8 @@
     /// EWMA of the run time of a request, in seconds.
     double run_time{0};
     std::uint32_t running{0};
+    /// Expected number of repeats among the running requests.
+    double running_repeats{0};
     /// Total running time, in seconds, in the current attribution interval.
     double run_seconds{0};
 };
@@ -51,8 +53,9 @@
 
 /// Records an arrival; `weight` is the number of requests that it represents, 0 for a further attempt.
 void record_arrival(service_pressure& pressure, std::string_view route, double weight);
-void record_start(service_pressure& pressure, std::string_view route);
-void record_end(service_pressure& pressure, std::string_view route, duration elapsed);
+/// Records that a request starts to run; `repeat_share` is the probability that it is a repeat.
+void record_start(service_pressure& pressure, std::string_view route, double repeat_share);
+void record_end(service_pressure& pressure, std::string_view route, double repeat_share, duration elapsed);
 /// Records a call made by the target.
 void record_call(service_pressure& pressure, std::string_view service);
 /// Records the demand ratio received with the response to such a call.
@@ -66,6 +69,8 @@
 /// Highest demand ratio of the services downstream that requests of the route call.
 [[nodiscard]] double downstream_pressure(const service_pressure& pressure, std::string_view route,
                                          steady_time now);
+/// Probability that a call of the service comes from a run that is a repeat.
+[[nodiscard]] double repeat_share_of_calls(const service_pressure& pressure, std::string_view service);
 /// Mean number of requests that a call of the service represents, from the weights of the requests that cause
 /// such calls.
 [[nodiscard]] double call_weight(const service_pressure& pressure, std::string_view service);
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -34,9 +34,6 @@
 constexpr duration freshness_margin = std::chrono::milliseconds(500);
 // Missing announcements after which a target counts as gone; announcements may be seconds late.
 constexpr int missed_announcements_until_gone = 4;
-// Retries at one service multiply into calls to its downstream services. With this part of the fleet's retry
-// share at each, the share suffices when two services of a chain fail at the same time.
-constexpr double retry_share_per_hop = 0.5;
 // A host unreachable for this long is removed from the list.
 constexpr duration removal_delay = std::chrono::seconds(20);
 // A stopping host accepts requests until this many readiness checks have been answered with "not ready" or
@@ -84,11 +81,10 @@
 dispatcher_context make_dispatcher_context(const time_source& time, metrics& counters,
                                            const configuration_store& configuration,
                                            const member_table& members, peer_directory& peers,
-                                           executor& local, std::mt19937_64& random,
+                                           executor& local, std::mt19937_64& random, retry_limiter& retries,
                                            service_pressure& pressure) {
-    dispatcher_context context{time, counters, configuration, members, peers, local, random};
+    dispatcher_context context{time, counters, configuration, members, peers, local, random, retries};
     context.shares_allowance = false;
-    context.retry_budget_capacity = host_retry_budget_capacity(0, 1);
     context.redirects_refused_attempts = true;
     context.pressure = &pressure;
     return context;
@@ -111,14 +107,18 @@
                    std::make_shared<byte_budget>(byte_budget{max_received_bytes}), adapter.protocol),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
                  ip_of(own.target_address), &pressure_}),
+      retry_limiter_(
+          time, members_, {own.retry_share, static_cast<double>(own.retry_slack), own.retry_window},
+          {[this](std::string_view service) { return limiter_.is_retry_allocator_reachable(service); },
+           [this](std::string service) { return limiter_.report_retries(std::move(service)); }}),
       dispatcher_(make_dispatcher_context(time, counters_, configuration_, members_, peers_, executor_,
-                                          random_, pressure_)),
+                                          random_, retry_limiter_, pressure_)),
       topics_(time, peers_), outlier_detector_(time, settings_.host, target_,
                                                [this](const std::string& host, const target_health& health) {
                                                    dispatcher_.record_worker_comparison(host, health);
                                                }),
-      limiter_(
-          {io.get_executor(), time, counters_, configuration_, members_, peers_, topics_, outlier_detector_}),
+      limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_,
+                outlier_detector_, retry_limiter_}),
       registry_({io.get_executor(), time, store, random_, members_, adapter.hosts_topic,
                  [this] { handle_registry_change(); },
                  make_topic_peers(adapter.hosts_topic, hosts_end_validity)}),
@@ -201,9 +201,6 @@
         log_event(log_level::error, "configuration rejected", {{"cause", read.error().message}});
         return;
     }
-    for (auto& service : read.value().document.services) {
-        service.retry_budget = settings_.retry_share * retry_share_per_hop;
-    }
     const std::uint64_t version = read.value().version;
     const auto routes = std::to_string(read.value().document.routes.size());
     const caller_limits limits = read.value().limits;
@@ -226,8 +223,6 @@
             log_event(log_level::error, "peer port could not be opened", {{"cause", opened.error().message}});
         }
     }
-    dispatcher_.set_retry_budget_capacity(
-        host_retry_budget_capacity(settings_.retry_slack * retry_share_per_hop, members_.others.size() + 1));
     peers_.close_gone_links();
     if (peer_server_open_) {
         peers_.keep_connected();
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -6,6 +6,7 @@
 #include "dandelionmount/process/configuration_store.h"
 #include "dandelionmount/process/fleet_limiter.h"
 #include "dandelionmount/process/fleet_registry.h"
+#include "dandelionmount/process/fleet_retry_limiter.h"
 #include "dandelionmount/process/local_target.h"
 #include "dandelionmount/process/membership.h"
 #include "dandelionmount/process/metrics.h"
@@ -71,6 +72,7 @@
     peer_directory peers_;
     target_connections connections_;
     executor executor_;
+    fleet_retry_limiter retry_limiter_;
     dispatcher dispatcher_;
     topic_sharing topics_;
     outlier_detector outlier_detector_;
--- a/src/dandelionmount/process/store_settings.cpp
+++ b/src/dandelionmount/process/store_settings.cpp
@@ -70,6 +70,7 @@
         value.retry_share = reader.number("retry_share", 0, 1).value_or(value.retry_share);
         const auto slack = reader.number("retry_slack", 0, max_retry_slack);
         value.retry_slack = slack ? static_cast<std::uint32_t>(*slack) : value.retry_slack;
+        read_positive_duration(reader, "retry_window", value.retry_window);
         reader.finish();
     }
 
--- a/src/dandelionmount/process/store_settings.h
+++ b/src/dandelionmount/process/store_settings.h
@@ -34,8 +34,10 @@
     std::chrono::milliseconds key_withdrawal{5000};
     /// Retries that a service may receive over the whole fleet, as a share of its requests.
     double retry_share{0.2};
-    /// Retries in ten seconds allowed in addition to that share.
+    /// Retries allowed in addition to that share.
     std::uint32_t retry_slack{50};
+    /// Window of time within which requests and retries are counted.
+    std::chrono::milliseconds retry_window{10000};
     std::string log_level{"info"};
 };
 
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -60,11 +60,6 @@
 
 dispatcher::dispatcher(dispatcher_context context) : context_(context) {}
 
-double dispatcher::budget_share(const std::string& service) const {
-    const auto* settings = find_service(context_.configuration.current(), service);
-    return settings == nullptr ? 0 : settings->retry_budget;
-}
-
 double dispatcher::ingress_admitted_share(const dispatch_order& order) {
     const auto now = context_.time.now();
     if (context_.pressure != nullptr) {
@@ -129,13 +124,6 @@
     }
 }
 
-void dispatcher::set_retry_budget_capacity(double capacity) {
-    context_.retry_budget_capacity = capacity;
-    for (auto& [service, budget] : budgets_) {
-        budget.set_capacity(capacity);
-    }
-}
-
 asio::awaitable<wire::forward_reply> dispatcher::dispatch(dispatch_order order) {
     if (order.at_ingress && !admit_at_ingress(order)) {
         co_return make_shed_reply(order);
@@ -143,10 +131,10 @@
     if (!order.at_ingress && context_.pressure != nullptr) {
         record_call(*context_.pressure, order.request.service());
         order.request.set_weight(call_weight(*context_.pressure, order.request.service()));
+        order.request.set_repeat_share(repeat_share_of_calls(*context_.pressure, order.request.service()));
     }
     const std::string service = order.request.service();
-    budgets_.try_emplace(service, context_.retry_budget_capacity)
-        .first->second.record_first_attempt(budget_share(service));
+    context_.retries.record_request(service, order.request.repeat_share());
     std::vector<std::string> tried;
     std::uint32_t redirects = 0;
     auto reply = make_reply(order.request, wire::not_run, reason::no_target);
@@ -163,10 +151,13 @@
         }
         order.request.set_attempt(number);
         reply = co_await attempt(order, choice.host);
-        const reason retry_cause = retry_reason(order, reply, redirects);
+        const reason retry_cause = co_await decide_retry(order, reply, redirects);
         if (retry_cause == reason::none) {
             co_return reply;
         }
+        if (reply.outcome() == wire::unknown) {
+            order.request.set_repeat_share(1);
+        }
         context_.counters.count_retry(retry_cause);
         tried.push_back(choice.host);
     }
@@ -206,39 +197,46 @@
 }
 
 // Returns the reason for a retry, or none when the reply is final.
-reason dispatcher::retry_reason(const dispatch_order& order, const wire::forward_reply& reply,
-                                std::uint32_t& redirects) {
+asio::awaitable<reason> dispatcher::decide_retry(const dispatch_order& order,
+                                                 const wire::forward_reply& reply, std::uint32_t& redirects) {
     const reason why = reason_from_token(reply.reason());
     const bool proved_not_run = reply.outcome() == wire::not_run;
     const bool repeatable =
         proved_not_run || (reply.outcome() == wire::unknown && order.request.idempotent());
     const bool time_left = context_.time.now() + min_attempt_time < order.deadline;
     if (!repeatable || is_final(why) || !time_left || order.cancel->requested()) {
-        return reason::none;
+        co_return reason::none;
     }
     if (!context_.uses_allowance) {
-        return order.request.attempt() < max_attempts_per_hop ? why : reason::none;
+        co_return order.request.attempt() < max_attempts_per_hop ? why : reason::none;
     }
     if (proved_not_run && is_worker_unavailable(why) && redirects < max_redirects) {
         ++redirects;
-        return why;
+        co_return why;
     }
     if (proved_not_run && context_.redirects_refused_attempts && is_load_refusal(why)) {
         const bool once_more = redirects < max_load_redirects;
         ++redirects;
-        return once_more ? why : reason::none;
+        co_return once_more ? why : reason::none;
     }
     if (order.allowance->left() == 0) {
         context_.counters.count_refusal(reason::allowance_spent);
-        return reason::none;
+        co_return reason::none;
     }
-    if (!budgets_.find(order.request.service())->second.use_one()) {
+    const bool within_budget = co_await context_.retries.use_one(order.request.service());
+    if (!within_budget) {
         context_.counters.count_refusal(reason::retry_budget);
-        return reason::none;
+        co_return reason::none;
+    }
+    // The budget may have been waited for.
+    const bool has_ended =
+        context_.time.now() + min_attempt_time >= order.deadline || order.cancel->requested();
+    if (has_ended) {
+        co_return reason::none;
     }
     const bool used = order.allowance->use_one();
     DANDELIONMOUNT_INVARIANT(used);
-    return why;
+    co_return why;
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -10,6 +10,7 @@
 #include "dandelionmount/request/demand_ratio_table.h"
 #include "dandelionmount/request/executor.h"
 #include "dandelionmount/request/retry_allowance.h"
+#include "dandelionmount/request/retry_limiter.h"
 #include "dandelionmount/request/worker_choice.h"
 
 #include <map>
@@ -29,13 +30,12 @@
     peer_directory& peers;
     executor& local;
     std::mt19937_64& random;
+    retry_limiter& retries;
     /// Whether retries are taken from the request's allowance. Off only in benchmarks: each hop then retries
     /// independently.
     bool uses_allowance{true};
     /// Whether calls made by a target count as part of the request that caused them and share its allowance.
     bool shares_allowance{true};
-    /// Capacity of the retry budget of each service, in retries: the largest burst of retries of this host.
-    double retry_budget_capacity{10};
     /// Whether an attempt that was refused by a worker's host, and so never reached the worker, may be
     /// redirected to another worker without using a retry.
     bool redirects_refused_attempts{false};
@@ -67,8 +67,6 @@
     /// Returns the final reply. Retries only when the previous attempt is proved not to have run or the
     /// request is idempotent, and only within the request's allowance and the service's retry budget.
     boost::asio::awaitable<wire::forward_reply> dispatch(dispatch_order order);
-    /// Sets the capacity of each service's retry budget.
-    void set_retry_budget_capacity(double capacity);
     /// Records the result of comparing a worker with others of its service.
     void record_worker_comparison(const std::string& host, const target_health& health);
     /// Records whether a worker's host can be reached.
@@ -78,18 +76,16 @@
 
 private:
     boost::asio::awaitable<wire::forward_reply> attempt(const dispatch_order& order, std::string host);
-    [[nodiscard]] reason retry_reason(const dispatch_order& order, const wire::forward_reply& reply,
-                                      std::uint32_t& redirects);
+    [[nodiscard]] boost::asio::awaitable<reason>
+    decide_retry(const dispatch_order& order, const wire::forward_reply& reply, std::uint32_t& redirects);
     [[nodiscard]] bool admit_at_ingress(dispatch_order& order);
     [[nodiscard]] double ingress_admitted_share(const dispatch_order& order);
     [[nodiscard]] wire::forward_reply make_shed_reply(const dispatch_order& order);
     void record_demand_ratio(const dispatch_order& order, double ratio);
     [[nodiscard]] double service_pressure_ratio(const std::string& service);
-    [[nodiscard]] double budget_share(const std::string& service) const;
 
     dispatcher_context context_;
     std::map<std::string, worker_record, std::less<>> workers_;
-    std::map<std::string, retry_budget> budgets_;
     demand_ratio_table ratios_;
     priority_shedder shedder_;
     /// Cached ratio of demand to capacity at the workers of each service, and when it was computed.
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -253,7 +253,7 @@
     context_.counters.count(event::target_calls);
     const auto started_at = context_.time.now();
     if (context_.pressure != nullptr) {
-        record_start(*context_.pressure, attempt->request.route());
+        record_start(*context_.pressure, attempt->request.route(), attempt->request.repeat_share());
     }
     record_run_start(context_.target.speed(), attempt->request.route(), started_at);
     const auto& announced = context_.target.announced();
@@ -264,7 +264,7 @@
     context_.counters.target_time().add(elapsed);
     record_call_end(reply, elapsed);
     if (context_.pressure != nullptr) {
-        record_end(*context_.pressure, attempt->request.route(), elapsed);
+        record_end(*context_.pressure, attempt->request.route(), attempt->request.repeat_share(), elapsed);
     }
     record_run_end(context_.target.speed(), attempt->request.route(), elapsed, run_result_of(reply),
                    context_.time.now());
--- a/src/dandelionmount/request/retry_allowance.cpp
+++ b/src/dandelionmount/request/retry_allowance.cpp
@@ -22,11 +22,6 @@
     tokens_ = std::min(capacity_, tokens_ + share);
 }
 
-void retry_budget::set_capacity(double capacity) {
-    capacity_ = capacity;
-    tokens_ = std::min(tokens_, capacity_);
-}
-
 bool retry_budget::use_one() {
     if (tokens_ < 1) {
         return false;
@@ -35,8 +30,4 @@
     return true;
 }
 
-double host_retry_budget_capacity(double fleet_retries, std::size_t hosts) {
-    return std::max(1.0, fleet_retries / static_cast<double>(std::max<std::size_t>(1, hosts)));
-}
-
 } // namespace dandelionmount
--- a/src/dandelionmount/request/retry_allowance.h
+++ b/src/dandelionmount/request/retry_allowance.h
@@ -1,7 +1,6 @@
 #ifndef DANDELIONMOUNT_REQUEST_RETRY_ALLOWANCE_H
 #define DANDELIONMOUNT_REQUEST_RETRY_ALLOWANCE_H
 
-#include <cstddef>
 #include <cstdint>
 
 namespace dandelionmount {
@@ -33,7 +32,6 @@
     explicit retry_budget(double capacity = 10) : capacity_(capacity), tokens_(capacity / 2) {}
     /// Adds `share` of a retry to the budget.
     void record_first_attempt(double share);
-    void set_capacity(double capacity);
     /// Uses one retry; returns false when less than one is left.
     [[nodiscard]] bool use_one();
 
@@ -42,10 +40,6 @@
     double tokens_;
 };
 
-/// Capacity of one host's retry budget for a service when all hosts together may use `fleet_retries` at once.
-/// At least one, as a host with less could never retry.
-[[nodiscard]] double host_retry_budget_capacity(double fleet_retries, std::size_t hosts);
-
 } // namespace dandelionmount
 
 #endif
