--- a/src/dandelionmount/process/fleet_limiter.cpp
+++ b/src/dandelionmount/process/fleet_limiter.cpp
@@ -92,7 +92,8 @@
         co_return false;
     }
     quota.last_urgent_request_at = now;
-    co_await send_report({group_of(account), account, {}});
+    const report_scope scope{group_of(account), account, {}};
+    co_await send_report(scope);
     // The configuration may have changed while the report was under way.
     settings = find_account(context_.configuration.current(), account);
     const bool admitted = settings != nullptr && take_token(*settings);
@@ -118,7 +119,8 @@
 }
 
 asio::awaitable<void> fleet_limiter::report_retries(std::string service) {
-    co_await send_report({group_of_service(service), {}, service});
+    const report_scope scope{group_of_service(service), {}, service};
+    co_await send_report(scope);
 }
 
 wire::rate_report fleet_limiter::make_report(const report_scope& scope) {
