Shed the least important requests while a service rejects calls at random

Change: the allocator of the retries compares the retries that all requests would need with those that the budget allows, and reports the ratio as pressure of the service. It goes up the chain like the pressure of an overload, and ingress nodes shed the least important requests by it; the calls of those admitted can all be repeated. Shedding ends when it has lowered the budget so far that admitting all serves more. A rejected call may be sent to the same worker again, up to 5 attempts, as it has not run. The budget is now checked for every window that contains the present, with the requests of that window or of an earlier one as the limit counts them.

--- a/src/dandelionmount/process/fleet_retry_limiter.cpp
+++ b/src/dandelionmount/process/fleet_retry_limiter.cpp
@@ -1,11 +1,13 @@
 #include "dandelionmount/process/fleet_retry_limiter.h"
 
+#include "dandelionmount/process/logging.h"
+
 namespace dandelionmount {
 
 namespace asio = boost::asio;
 
 fleet_retry_limit fleet_retry_limiter::limit() const {
-    return {settings_.share, settings_.slack, members_.others.size() + 1};
+    return {settings_.share, settings_.slack, members_.others.size() + 1, settings_.window};
 }
 
 host_retry_quota& fleet_retry_limiter::quota_of(std::string_view service) {
@@ -14,8 +16,17 @@
                                   : quotas_.try_emplace(std::string(service), settings_.window).first->second;
 }
 
-void fleet_retry_limiter::record_request(std::string_view service, double repeat_share) {
-    dandelionmount::record_request(quota_of(service), repeat_share, time_.now_with_suspension());
+void fleet_retry_limiter::record_request(std::string_view service, double weight, double repeat_share) {
+    dandelionmount::record_request(quota_of(service), weight, repeat_share, time_.now_with_suspension());
+}
+
+void fleet_retry_limiter::record_failure(std::string_view service) {
+    dandelionmount::record_failure(quota_of(service));
+}
+
+double fleet_retry_limiter::pressure(std::string_view service) const {
+    const auto found = quotas_.find(service);
+    return found == quotas_.end() ? 0 : current_pressure(found->second, time_.now_with_suspension());
 }
 
 bool fleet_retry_limiter::use_token(std::string_view service) {
@@ -24,7 +35,6 @@
 }
 
 asio::awaitable<bool> fleet_retry_limiter::use_one(std::string service) {
-    record_failure(quota_of(service));
     if (use_token(service)) {
         co_return true;
     }
@@ -48,24 +58,46 @@
         const retry_usage usage = report_usage(quota, service == urgent_service, now);
         auto* written = report.add_retries();
         written->set_service(service);
-        written->set_requests(usage.requests);
-        written->set_repeats(usage.repeats);
+        written->set_requests(usage.all.requests);
+        written->set_repeats(usage.all.repeats);
+        written->set_window_requests(usage.in_window.requests);
+        written->set_window_repeats(usage.in_window.repeats);
         written->set_wanted(usage.wanted);
+        written->set_demand_rate(static_cast<float>(usage.demand_rate));
+        written->set_attempt_rate(static_cast<float>(usage.attempt_rate));
+        written->set_failure_rate(static_cast<float>(usage.failure_rate));
     }
 }
 
 void fleet_retry_limiter::allocate(const wire::rate_report& report, std::string_view host,
                                    double reachable_fraction, wire::rate_grants& grants) {
     const auto now = time_.now_with_suspension();
-    for (const auto& usage : report.retries()) {
-        const auto granted =
-            grant_retries(pools_[usage.service()], host, {usage.requests(), usage.repeats(), usage.wanted()},
-                          limit(), reachable_fraction, settings_.window, now);
-        if (usage.wanted() > 0) {
-            auto* grant = grants.add_retries();
-            grant->set_service(usage.service());
-            grant->set_wanted(usage.wanted());
-            grant->set_tokens(granted);
+    for (const auto& reported : report.retries()) {
+        retry_usage usage;
+        usage.all = {reported.requests(), reported.repeats()};
+        usage.in_window = {reported.window_requests(), reported.window_repeats()};
+        usage.wanted = reported.wanted();
+        usage.demand_rate = reported.demand_rate();
+        usage.attempt_rate = reported.attempt_rate();
+        usage.failure_rate = reported.failure_rate();
+        service_retry_pool& pool = pools_.try_emplace(reported.service(), settings_.window).first->second;
+        const bool had_pressure = pool.has_pressure;
+        const retry_grant granted = grant_retries(pool, host, usage, limit(), reachable_fraction, now);
+        if (pool.has_pressure != had_pressure) {
+            log_event(log_level::info, pool.has_pressure ? "retry pressure began" : "retry pressure ended",
+                      {{"service", reported.service()},
+                       {"pressure", std::to_string(granted.pressure)},
+                       {"attempts_per_s", std::to_string(pool.attempt_rate)},
+                       {"failures_per_s", std::to_string(pool.failure_rate)},
+                       {"demand_per_s", std::to_string(pool.demand_rate)},
+                       {"budget_worn", pool.is_budget_worn ? "1" : "0"}});
+        }
+        if (granted.wanted > 0 || granted.pressure > 0) {
+            auto* written = grants.add_retries();
+            written->set_service(reported.service());
+            written->set_wanted(granted.wanted);
+            written->set_tokens(granted.tokens);
+            written->set_pressure(static_cast<float>(granted.pressure));
         }
     }
 }
@@ -73,8 +105,8 @@
 void fleet_retry_limiter::read_grants(const wire::rate_grants& grants, steady_time requested_at) {
     const auto now = time_.now_with_suspension();
     for (const auto& grant : grants.retries()) {
-        add_retry_tokens(quota_of(grant.service()), grant.wanted(), grant.tokens(),
-                         requested_at + retry_token_validity, now);
+        apply_grant(quota_of(grant.service()), {grant.tokens(), grant.wanted(), grant.pressure()},
+                    requested_at + retry_token_validity, now);
     }
 }
 
--- a/src/dandelionmount/process/fleet_retry_limiter.h
+++ b/src/dandelionmount/process/fleet_retry_limiter.h
@@ -41,8 +41,10 @@
                         retry_allocators allocators)
         : time_(time), members_(members), settings_(settings), allocators_(std::move(allocators)) {}
 
-    void record_request(std::string_view service, double repeat_share) override;
+    void record_request(std::string_view service, double weight, double repeat_share) override;
+    void record_failure(std::string_view service) override;
     boost::asio::awaitable<bool> use_one(std::string service) override;
+    [[nodiscard]] double pressure(std::string_view service) const override;
 
     /// Adds to a report the usage of the services that `is_included` selects; that of `urgent_service` asks
     /// for one more token.
--- /dev/null
+++ b/src/dandelionmount/process/window_history.cpp
@@ -0,0 +1,43 @@
+#include "dandelionmount/process/window_history.h"
+
+#include <algorithm>
+
+namespace dandelionmount {
+
+std::size_t window_history::position(std::size_t age) const {
+    return (newest_ + bin_count - age) % bin_count;
+}
+
+void window_history::advance(steady_time now) {
+    if (now - newest_began_ < bin_length_) {
+        return;
+    }
+    const auto passed = static_cast<std::size_t>((now - newest_began_) / bin_length_);
+    for (std::size_t bin = 0; bin < std::min(passed, bin_count); ++bin) {
+        newest_ = (newest_ + 1) % bin_count;
+        bins_.at(newest_) = 0;
+    }
+    newest_began_ += bin_length_ * passed;
+}
+
+void window_history::add(double amount, steady_time now) {
+    advance(now);
+    bins_.at(newest_) += amount;
+}
+
+void window_history::add_evenly(double amount, steady_time now) {
+    advance(now);
+    for (std::size_t age = 0; age < bins_per_window; ++age) {
+        bins_.at(position(age)) += amount / static_cast<double>(bins_per_window);
+    }
+}
+
+double window_history::sum(std::size_t newest, std::size_t end) const {
+    double sum = 0;
+    for (std::size_t age = newest; age < std::min(end, bin_count); ++age) {
+        sum += bins_.at(position(age));
+    }
+    return sum;
+}
+
+} // namespace dandelionmount
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t max_redirects = 3;
 // Redirects of attempts that were refused for load; in an overload, more would add work at all hosts.
 constexpr std::uint32_t max_load_redirects = 1;
+// Attempts of a call that its targets reject. More would take the budget from calls that were rejected less
+// often.
+constexpr std::uint32_t max_rejected_attempts = 5;
 // Remaining time below which another attempt is not worth its cost.
 constexpr duration min_attempt_time = std::chrono::milliseconds(5);
 constexpr duration service_pressure_ratio_interval = std::chrono::milliseconds(100);
@@ -87,7 +90,12 @@
         }
         return;
     }
-    const double highest = std::max(ratio, service_pressure_ratio(order.request.service()));
+    double highest = std::max(ratio, service_pressure_ratio(order.request.service()));
+    if (order.request.is_call()) {
+        // Work is wasted where a call fails, so only requests that lead to calls are shed for want of
+        // retries.
+        highest = std::max(highest, context_.retries.pressure(order.request.service()));
+    }
     if (order.at_ingress) {
         record_pressure(shedder_, order.route, highest, now);
     } else {
@@ -134,32 +142,38 @@
         order.request.set_repeat_share(repeat_share_of_calls(*context_.pressure, order.request.service()));
     }
     const std::string service = order.request.service();
-    context_.retries.record_request(service, order.request.repeat_share());
+    context_.retries.record_request(service, std::max(1.0, order.request.weight()),
+                                    order.request.repeat_share());
     std::vector<std::string> tried;
     std::uint32_t redirects = 0;
+    retry_decision retry;
+    std::string host;
     auto reply = make_reply(order.request, wire::not_run, reason::no_target);
     for (std::uint32_t number = 1;; ++number) {
-        const choice_context context{service, context_.members.self.zone(), tried, context_.time.now()};
-        const auto choice = choose_worker(context, context_.members, workers_, context_.random);
-        if (choice.host.empty()) {
-            // After an attempt, its outcome is more informative than the lack of another worker.
-            if (number == 1) {
-                reply = make_reply(order.request, wire::not_run, choice.why);
-                reply.set_retry_after_ms(to_milliseconds(overload_retry_after));
+        if (!retry.at_same_worker) {
+            const choice_context context{service, context_.members.self.zone(), tried, context_.time.now()};
+            const auto choice = choose_worker(context, context_.members, workers_, context_.random);
+            if (choice.host.empty()) {
+                // After an attempt, its outcome is more informative than the lack of another worker.
+                if (number == 1) {
+                    reply = make_reply(order.request, wire::not_run, choice.why);
+                    reply.set_retry_after_ms(to_milliseconds(overload_retry_after));
+                }
+                co_return reply;
             }
-            co_return reply;
+            host = choice.host;
+            tried.push_back(host);
         }
         order.request.set_attempt(number);
-        reply = co_await attempt(order, choice.host);
-        const reason retry_cause = co_await decide_retry(order, reply, redirects);
-        if (retry_cause == reason::none) {
+        reply = co_await attempt(order, host);
+        retry = co_await decide_retry(order, reply, redirects);
+        if (retry.cause == reason::none) {
             co_return reply;
         }
         if (reply.outcome() == wire::unknown) {
             order.request.set_repeat_share(1);
         }
-        context_.counters.count_retry(retry_cause);
-        tried.push_back(choice.host);
+        context_.counters.count_retry(retry.cause);
     }
 }
 
@@ -196,47 +210,61 @@
     co_return reply;
 }
 
-// Returns the reason for a retry, or none when the reply is final.
-asio::awaitable<reason> dispatcher::decide_retry(const dispatch_order& order,
-                                                 const wire::forward_reply& reply, std::uint32_t& redirects) {
+// Returns the cause of a retry, or none when the reply is final.
+asio::awaitable<retry_decision> dispatcher::decide_retry(const dispatch_order& order,
+                                                         const wire::forward_reply& reply,
+                                                         std::uint32_t& redirects) {
+    const retry_decision no_retry;
     const reason why = reason_from_token(reply.reason());
     const bool proved_not_run = reply.outcome() == wire::not_run;
     const bool repeatable =
         proved_not_run || (reply.outcome() == wire::unknown && order.request.idempotent());
-    const bool time_left = context_.time.now() + min_attempt_time < order.deadline;
-    if (!repeatable || is_final(why) || !time_left || order.cancel->requested()) {
-        co_return reason::none;
+    if (!repeatable || is_final(why) || has_ended(order)) {
+        co_return no_retry;
     }
     if (!context_.uses_allowance) {
-        co_return order.request.attempt() < max_attempts_per_hop ? why : reason::none;
+        const retry_decision retry{order.request.attempt() < max_attempts_per_hop ? why : reason::none};
+        co_return retry;
     }
     if (proved_not_run && is_worker_unavailable(why) && redirects < max_redirects) {
         ++redirects;
-        co_return why;
+        const retry_decision retry{why};
+        co_return retry;
     }
     if (proved_not_run && context_.redirects_refused_attempts && is_load_refusal(why)) {
         const bool once_more = redirects < max_load_redirects;
         ++redirects;
-        co_return once_more ? why : reason::none;
+        const retry_decision retry{once_more ? why : reason::none};
+        co_return retry;
     }
-    if (order.allowance->left() == 0) {
+    context_.retries.record_failure(order.request.service());
+    // A call that its target rejects has not run, so it may be sent to the same worker again, which the limit
+    // on the number of workers does not count.
+    const bool at_same_worker = order.allowance->left() == 0 && order.request.is_call() && proved_not_run &&
+                                why == reason::target_shed && order.request.attempt() < max_rejected_attempts;
+    if (order.allowance->left() == 0 && !at_same_worker) {
         context_.counters.count_refusal(reason::allowance_spent);
-        co_return reason::none;
+        co_return no_retry;
     }
     const bool within_budget = co_await context_.retries.use_one(order.request.service());
     if (!within_budget) {
         context_.counters.count_refusal(reason::retry_budget);
-        co_return reason::none;
+        co_return no_retry;
     }
     // The budget may have been waited for.
-    const bool has_ended =
-        context_.time.now() + min_attempt_time >= order.deadline || order.cancel->requested();
-    if (has_ended) {
-        co_return reason::none;
-    }
-    const bool used = order.allowance->use_one();
-    DANDELIONMOUNT_INVARIANT(used);
-    co_return why;
+    if (has_ended(order)) {
+        co_return no_retry;
+    }
+    if (!at_same_worker) {
+        const bool used = order.allowance->use_one();
+        DANDELIONMOUNT_INVARIANT(used);
+    }
+    const retry_decision retry{why, at_same_worker};
+    co_return retry;
+}
+
+bool dispatcher::has_ended(const dispatch_order& order) const {
+    return context_.time.now() + min_attempt_time >= order.deadline || order.cancel->requested();
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -59,6 +59,13 @@
     std::shared_ptr<cancel_token> cancel;
 };
 
+/// Whether and where an attempt is repeated.
+struct retry_decision {
+    /// Why the attempt is repeated; none if its reply is final.
+    reason cause{reason::none};
+    bool at_same_worker{false};
+};
+
 /// Sends a request to a worker, and retries on another one where that is safe and worthwhile.
 class dispatcher {
 public:
@@ -76,8 +83,10 @@
 
 private:
     boost::asio::awaitable<wire::forward_reply> attempt(const dispatch_order& order, std::string host);
-    [[nodiscard]] boost::asio::awaitable<reason>
+    [[nodiscard]] boost::asio::awaitable<retry_decision>
     decide_retry(const dispatch_order& order, const wire::forward_reply& reply, std::uint32_t& redirects);
+    /// Whether another attempt would come too late, or nobody waits for it.
+    [[nodiscard]] bool has_ended(const dispatch_order& order) const;
     [[nodiscard]] bool admit_at_ingress(dispatch_order& order);
     [[nodiscard]] double ingress_admitted_share(const dispatch_order& order);
     [[nodiscard]] wire::forward_reply make_shed_reply(const dispatch_order& order);
--- a/src/dandelionmount/request/local_retry_limiter.cpp
+++ b/src/dandelionmount/request/local_retry_limiter.cpp
@@ -4,7 +4,8 @@
 
 namespace asio = boost::asio;
 
-void local_retry_limiter::record_request(std::string_view service, double /*repeat_share*/) {
+void local_retry_limiter::record_request(std::string_view service, double /*weight*/,
+                                         double /*repeat_share*/) {
     const auto* settings = find_service(configuration_.current(), service);
     const double share = settings == nullptr ? 0 : settings->retry_budget;
     budgets_[std::string(service)].record_first_attempt(share);
