Count the calls of the store by cause, and log the totals

Calls of the store are the largest price at 195 hosts, and nothing told why they are made. dandelionmount_store_calls_total{cause} and a line every 10 s and at the stop tell.

--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -39,8 +39,8 @@
 
 fleet_registry::fleet_registry(fleet_registry_context context)
     : context_(std::move(context)), started_(context_.time.now()),
-      follower_({context_.executor, context_.time, context_.store, context_.random, context_.topic,
-                 registry_poll_timeout, registry_batch_delay, context_.peers},
+      follower_({context_.executor, context_.time, context_.counters, context_.store, context_.random,
+                 context_.topic, registry_poll_timeout, registry_batch_delay, context_.peers},
                 {[this](std::span<const keyed_record> records, bool is_snapshot) {
                      apply_records(records, is_snapshot);
                  },
@@ -124,6 +124,7 @@
 // store accepts only the first.
 asio::awaitable<void> fleet_registry::propose_secret() {
     keyed_record record{std::string(secret_key), to_hex(random_bytes(secret_bytes))};
+    context_.counters.count_store_call(store_call::secret);
     const auto appended = co_await context_.store.append(context_.topic, record, follower_.next());
     is_proposing_ = false;
     if (!appended) {
@@ -155,6 +156,7 @@
         keyed_record record{key_of_host(context_.members.self.host()),
                             write_host_record(context_.members.self)};
         const std::string written = *record.value;
+        context_.counters.count_store_call(store_call::own_record);
         const auto appended = co_await context_.store.append(context_.topic, std::move(record), std::nullopt);
         if (!appended) {
             log_event(log_level::warning, "own host record could not be written",
@@ -172,6 +174,7 @@
     is_leaving_ = true;
     for (int attempt = 0; attempt < max_leave_attempts; ++attempt) {
         keyed_record record{key_of_host(context_.members.self.host()), std::nullopt};
+        context_.counters.count_store_call(store_call::leave);
         const auto appended = co_await context_.store.append(context_.topic, std::move(record), std::nullopt);
         if (appended) {
             has_left_ = true;
@@ -184,6 +187,7 @@
 
 asio::awaitable<void> fleet_registry::remove(std::string host) {
     keyed_record record{key_of_host(host), std::nullopt};
+    context_.counters.count_store_call(store_call::removal);
     const auto appended = co_await context_.store.append(context_.topic, std::move(record), std::nullopt);
     const std::string outcome = appended ? "removed" : appended.error().message;
     log_event(log_level::info, "removal of an unreachable host", {{"host", host}, {"outcome", outcome}});
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -15,6 +15,7 @@
 struct fleet_registry_context {
     boost::asio::any_io_executor executor;
     const time_source& time;
+    metrics& counters;
     record_store& store;
     std::mt19937_64& random;
     member_table& members;
--- a/src/dandelionmount/process/metrics.cpp
+++ b/src/dandelionmount/process/metrics.cpp
@@ -35,6 +35,10 @@
     "members_declared_dead",
 };
 
+constexpr std::array<std::string_view, store_call_count> store_call_labels = {
+    "snapshot", "poll", "stale_end", "catch_up", "own_record", "secret", "removal", "leave",
+};
+
 void render_line(std::string& text, std::string_view name, std::string_view label, double value) {
     text.append("dandelionmount_").append(name);
     if (!label.empty()) {
@@ -63,6 +67,10 @@
 
 } // namespace
 
+std::string_view store_call_label(store_call cause) {
+    return store_call_labels.at(static_cast<std::size_t>(cause));
+}
+
 duration_summary::duration_summary() : values_(accumulators::extended_p_square_probabilities = quantiles) {}
 
 void duration_summary::add(duration value) {
@@ -93,6 +101,14 @@
     events_.at(static_cast<std::size_t>(what)) += by;
 }
 
+void metrics::count_store_call(store_call cause) {
+    ++store_calls_.at(static_cast<std::size_t>(cause));
+}
+
+std::uint64_t metrics::store_calls(store_call cause) const {
+    return store_calls_.at(static_cast<std::size_t>(cause));
+}
+
 std::uint64_t metrics::refusals(reason why) const {
     return refusals_.at(static_cast<std::size_t>(why));
 }
@@ -114,6 +130,11 @@
         text.append("# TYPE dandelionmount_").append(name).append(" counter\n");
         render_count(text, name, "", events_.at(index));
     }
+    text.append("# TYPE dandelionmount_store_calls_total counter\n");
+    for (std::size_t index = 0; index < store_call_count; ++index) {
+        const std::string label = "cause=\"" + std::string(store_call_labels.at(index)) + "\"";
+        render_count(text, "store_calls_total", label, store_calls_.at(index));
+    }
     request_time_.render(text, "request_seconds");
     target_time_.render(text, "target_seconds");
     loop_delay_.render(text, "loop_delay_seconds");
--- a/src/dandelionmount/process/metrics.h
+++ b/src/dandelionmount/process/metrics.h
@@ -13,6 +13,7 @@
 #include <boost/accumulators/statistics/sum.hpp>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace dandelionmount {
 
@@ -63,15 +64,41 @@
 
 constexpr std::size_t event_count = static_cast<std::size_t>(event::count_);
 
+/// Why the platform's record store is called.
+enum class store_call {
+    /// The newest records of a topic are read, at the start and after its history was trimmed.
+    snapshot,
+    /// A topic is read on behalf of the fleet.
+    poll,
+    /// No other host has reported the end of a topic for too long.
+    stale_end,
+    /// A topic has newer records, which no other host could hand on.
+    catch_up,
+    own_record,
+    secret,
+    /// The record of a host that is gone is removed.
+    removal,
+    /// This host's own record is removed.
+    leave,
+    count_
+};
+
+constexpr std::size_t store_call_count = static_cast<std::size_t>(store_call::count_);
+
+/// The label of the counter.
+[[nodiscard]] std::string_view store_call_label(store_call cause);
+
 /// All counters of one process.
 class metrics {
 public:
     void count_refusal(reason why);
     void count_retry(reason why);
     void count(event what, std::uint64_t by = 1);
+    void count_store_call(store_call cause);
     [[nodiscard]] std::uint64_t refusals(reason why) const;
     [[nodiscard]] std::uint64_t retries(reason why) const;
     [[nodiscard]] std::uint64_t total(event what) const;
+    [[nodiscard]] std::uint64_t store_calls(store_call cause) const;
     duration_summary& request_time() { return request_time_; }
     duration_summary& target_time() { return target_time_; }
     /// Delay of event loop timers beyond the requested time.
@@ -83,6 +110,7 @@
     std::array<std::uint64_t, reason_count> refusals_{};
     std::array<std::uint64_t, reason_count> retries_{};
     std::array<std::uint64_t, event_count> events_{};
+    std::array<std::uint64_t, store_call_count> store_calls_{};
     duration_summary request_time_;
     duration_summary target_time_;
     duration_summary loop_delay_;
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -21,6 +21,7 @@
 constexpr duration maintenance_interval = std::chrono::milliseconds(125);
 constexpr int rounds_between_reports = 2;
 constexpr int rounds_per_second = 8;
+constexpr int rounds_between_call_logs = 10 * rounds_per_second;
 // How long one read of the configuration waits for a record. A known end of the topic dates from the start of
 // its read, so it may be twice as old as this when the next read ends. With the interval between reports
 // added, that stays below `configuration_end_validity`.
@@ -119,12 +120,13 @@
                                                }),
       limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_,
                 outlier_detector_, retry_limiter_}),
-      registry_({io.get_executor(), time, store, random_, members_, adapter.hosts_topic,
+      registry_({io.get_executor(), time, counters_, store, random_, members_, adapter.hosts_topic,
                  [this] { handle_registry_change(); },
                  make_topic_peers(adapter.hosts_topic, hosts_end_validity)}),
       configuration_follower_(
-          {io.get_executor(), time, store, random_, adapter.configuration_topic, configuration_poll_timeout,
-           duration{0}, make_topic_peers(adapter.configuration_topic, configuration_end_validity)},
+          {io.get_executor(), time, counters_, store, random_, adapter.configuration_topic,
+           configuration_poll_timeout, duration{0},
+           make_topic_peers(adapter.configuration_topic, configuration_end_validity)},
           {[this](std::span<const keyed_record> records, bool) { apply_configuration(records); },
            [this](steady_time as_of) { configuration_.record_freshness(as_of); }}),
       peer_server_(
@@ -284,6 +286,9 @@
         if (round % rounds_per_second == 0) {
             connections_.close_unusable();
         }
+        if (round % rounds_between_call_logs == 0) {
+            log_store_calls();
+        }
         update_pressure(pressure_, target_.limiter(), time_.now());
         update_demands(target_.limiter(), time_.now());
         if (!peer_server_open_) {
@@ -301,6 +306,20 @@
     }
 }
 
+// Totals since the process started, by cause.
+void store_node::log_store_calls() const {
+    const auto total = [this](store_call cause) { return std::to_string(counters_.store_calls(cause)); };
+    log_event(log_level::info, "store calls",
+              {{"snapshot", total(store_call::snapshot)},
+               {"poll", total(store_call::poll)},
+               {"stale_end", total(store_call::stale_end)},
+               {"catch_up", total(store_call::catch_up)},
+               {"own_record", total(store_call::own_record)},
+               {"secret", total(store_call::secret)},
+               {"removal", total(store_call::removal)},
+               {"leave", total(store_call::leave)}});
+}
+
 // A process that gets too little CPU time is late with everything, its messages to other hosts included.
 void store_node::record_loop_delay(duration delay) {
     counters_.loop_delay().add(delay);
@@ -440,6 +459,7 @@
         co_await sleep_for(io_.get_executor(), stop_poll_interval);
     }
     const auto unanswered = caller_server_.server().log_unanswered("stopped");
+    log_store_calls();
     log_stop_progress("stopped", stop_began);
     if (unanswered > 0) {
         log_event(log_level::warning, "requests cut off by the stop",
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -49,6 +49,7 @@
     boost::asio::awaitable<void> wait_until_unready_reported(steady_time deadline);
     void remove_unreachable_hosts();
     void record_loop_delay(duration delay);
+    void log_store_calls() const;
     /// Logs the progress of a stop, and what it still waits for.
     void log_stop_progress(std::string_view step, steady_time stop_began);
     void publish_target();
--- a/src/dandelionmount/process/topic_follower.cpp
+++ b/src/dandelionmount/process/topic_follower.cpp
@@ -122,7 +122,18 @@
     handlers_.records(page.records, is_snapshot);
 }
 
+store_call topic_follower::cause_of_read() const {
+    if (needs_snapshot_) {
+        return store_call::snapshot;
+    }
+    if (!relies_on_peers()) {
+        return store_call::poll;
+    }
+    return is_behind_peers() ? store_call::catch_up : store_call::stale_end;
+}
+
 asio::awaitable<result<topic_records>> topic_follower::read_once() {
+    context_.counters.count_store_call(cause_of_read());
     if (needs_snapshot_) {
         auto newest = co_await context_.store.read_newest(context_.topic);
         co_return newest;
--- a/src/dandelionmount/process/topic_follower.h
+++ b/src/dandelionmount/process/topic_follower.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONMOUNT_PROCESS_TOPIC_FOLLOWER_H
 #define DANDELIONMOUNT_PROCESS_TOPIC_FOLLOWER_H
 
+#include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/record_store.h"
 
 #include "dandelionmount/connection/async_event.h"
@@ -43,6 +44,7 @@
 struct topic_follower_context {
     boost::asio::any_io_executor executor;
     const time_source& time;
+    metrics& counters;
     record_store& store;
     std::mt19937_64& random;
     std::string topic;
@@ -82,6 +84,7 @@
     [[nodiscard]] bool can_skip_reading() const;
     boost::asio::awaitable<void> wait_for_newer_end();
     boost::asio::awaitable<bool> read_from_peer();
+    [[nodiscard]] store_call cause_of_read() const;
     boost::asio::awaitable<result<topic_records>> read_once();
     void apply_page(const topic_records& page);
     void record_up_to_date(steady_time as_of);
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -86,18 +86,19 @@
 
     asio::io_context io{1};
     dm::system_time_source time;
+    dm::metrics counters;
     std::mt19937_64 random{1};
     memory_store store{io};
     std::map<std::string, std::string> seen;
     std::optional<dm::steady_time> caught_up;
-    dm::topic_follower follower{
-        {io.get_executor(), time, store, random, "topic", milliseconds(10), dm::duration{0}, std::nullopt},
-        {[this](std::span<const dm::keyed_record> records, bool) {
-             for (const auto& record : records) {
-                 seen[record.key] = record.value.value_or("");
-             }
-         },
-         [this](dm::steady_time as_of) { caught_up = as_of; }}};
+    dm::topic_follower follower{{io.get_executor(), time, counters, store, random, "topic", milliseconds(10),
+                                 dm::duration{0}, std::nullopt},
+                                {[this](std::span<const dm::keyed_record> records, bool) {
+                                     for (const auto& record : records) {
+                                         seen[record.key] = record.value.value_or("");
+                                     }
+                                 },
+                                 [this](dm::steady_time as_of) { caught_up = as_of; }}};
 };
 
 // One host reads the store; the other relies on the ends that the first one reports.
@@ -115,9 +116,9 @@
             dm::topic_records found{*records, from + records->size(), from + records->size()};
             co_return found;
         };
-        follower.emplace(dm::topic_follower_context{reader.io.get_executor(), reader.time, own_store,
-                                                    reader.random, "topic", milliseconds(10), dm::duration{0},
-                                                    peers},
+        follower.emplace(dm::topic_follower_context{reader.io.get_executor(), reader.time, counters,
+                                                    own_store, reader.random, "topic", milliseconds(10),
+                                                    dm::duration{0}, peers},
                          dm::topic_handlers{[this](std::span<const dm::keyed_record> records, bool) {
                                                 for (const auto& record : records) {
                                                     seen[record.key] = record.value.value_or("");
@@ -145,6 +146,7 @@
     }
 
     follower_fixture reader;
+    dm::metrics counters;
     memory_store own_store{reader.io};
     bool reads_store{false};
     bool fetch_works{true};
