Call the store once where each host called it many times

Change: proposals are spread over 0.5 s and made only while no secret is known; an acknowledged write counts as stored, and a record whose write went unanswered is written again when it turns up late; 1,024 records are kept for other hosts; a host that knows the fleet does not poll before the allocators are chosen; the incarnation of a target follows from its own start; late reads are spread over 1 s, and hosts for which others read back off up to 4 s. A proposal no longer awaits itself for each failure.

Result: tests of one write for a change, no write at a restart, at most 20 of 100 hosts proposing, at most 5 calls in 4 s of refusals.

--- a/src/dandelionmount/process/fleet_limiter.cpp
+++ b/src/dandelionmount/process/fleet_limiter.cpp
@@ -58,7 +58,7 @@
 
 bool fleet_limiter::is_rate_allocator() const {
     return std::any_of(allocators_.begin(), allocators_.end(), [this](const rate_allocator& allocator) {
-        return allocator.host.empty() || allocator.host == context_.members.self.host();
+        return allocator.host == context_.members.self.host();
     });
 }
 
--- a/src/dandelionmount/process/fleet_limiter.h
+++ b/src/dandelionmount/process/fleet_limiter.h
@@ -54,8 +54,7 @@
 
     /// Answers another host's report with tokens.
     void answer(const wire::rate_report& report, const peer_id& from, std::shared_ptr<frame_stream> stream);
-    /// Whether this host is a rate allocator; also true until the allocators have been chosen for the first
-    /// time.
+    /// Whether this host is a rate allocator.
     [[nodiscard]] bool is_rate_allocator() const;
     /// Reports this host's demand; called several times a second.
     void report();
--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -4,6 +4,7 @@
 #include "dandelionmount/process/host_record.h"
 #include "dandelionmount/process/logging.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <set>
@@ -20,13 +21,22 @@
 // Bounds the time until a silent connection to the store is noticed. Only a few hosts poll, on behalf of the
 // others.
 constexpr duration registry_poll_timeout = std::chrono::seconds(3);
-// Records written in quick succession are read together.
+// Records written in quick succession are read together. While the fleet starts, those of all hosts come
+// within seconds.
 constexpr duration registry_batch_delay = std::chrono::milliseconds(150);
+constexpr duration start_batch_delay = std::chrono::seconds(1);
+constexpr duration fleet_start_duration = std::chrono::seconds(4);
 // A host that has just started is published together with its target, unless the target takes longer than
 // this.
 constexpr duration target_wait_limit = std::chrono::seconds(2);
-// A written record that is not read back within this time is written again.
-constexpr duration write_retry_delay = std::chrono::milliseconds(500);
+// Exponential backoff after a write that failed. Its jitter keeps the hosts of a fleet apart.
+constexpr duration min_write_backoff = std::chrono::milliseconds(500);
+constexpr duration max_write_backoff = std::chrono::seconds(4);
+// The hosts of a fleet that starts propose a secret spread over this time, so that few do before the first
+// one is known.
+constexpr duration secret_proposal_spread = std::chrono::milliseconds(500);
+// Time after which a proposed secret should have been read.
+constexpr duration secret_read_timeout = std::chrono::milliseconds(500);
 // Changes in quick succession are written once.
 constexpr duration write_delay = std::chrono::milliseconds(20);
 constexpr int max_leave_attempts = 2;
@@ -40,12 +50,18 @@
 fleet_registry::fleet_registry(fleet_registry_context context)
     : context_(std::move(context)), started_(context_.time.now()),
       follower_({context_.executor, context_.time, context_.counters, context_.store, context_.random,
-                 context_.topic, registry_poll_timeout, registry_batch_delay, context_.peers},
+                 context_.topic, [] { return registry_poll_timeout; }, [this] { return batch_delay(); },
+                 context_.peers},
                 {[this](std::span<const keyed_record> records, bool is_snapshot) {
                      apply_records(records, is_snapshot);
                  },
                  [](steady_time) {}}) {}
 
+duration fleet_registry::batch_delay() const {
+    const bool fleet_starts = context_.time.now() - started_ < fleet_start_duration;
+    return fleet_starts ? start_batch_delay : registry_batch_delay;
+}
+
 void fleet_registry::start() {
     follower_.start();
 }
@@ -97,7 +113,7 @@
     }
     const std::string host = record.key.substr(host_prefix.size());
     if (host == context_.members.self.host()) {
-        stored_own_record_ = record.value.value_or("");
+        apply_own_record(record.value.value_or(""));
         return;
     }
     if (!record.value) {
@@ -120,22 +136,32 @@
     store_record(context_.members, *member);
 }
 
+// The topic's history also has the earlier records of this process. Those that were replaced by an
+// acknowledged write need no attention, unless a write of the same record went unanswered and may have taken
+// effect late.
+void fleet_registry::apply_own_record(const std::string& text) {
+    const bool is_replaced = acknowledged_records_.contains(text) && !unanswered_records_.contains(text);
+    if (!is_replaced || text == write_host_record(context_.members.self)) {
+        stored_own_record_ = text;
+    }
+}
+
 // Every host that finds no secret proposes a random one. The append is conditional on the offset, so the
 // store accepts only the first.
 asio::awaitable<void> fleet_registry::propose_secret() {
-    keyed_record record{std::string(secret_key), to_hex(random_bytes(secret_bytes))};
-    context_.counters.count_store_call(store_call::secret);
-    const auto appended = co_await context_.store.append(context_.topic, record, follower_.next());
-    is_proposing_ = false;
-    if (!appended) {
-        log_event(log_level::warning, "fleet secret could not be written",
-                  {{"cause", appended.error().message}});
-        co_await sleep_for(context_.executor, write_retry_delay);
-        if (secret_.empty() && !is_proposing_ && !is_leaving_) {
-            is_proposing_ = true;
-            co_await propose_secret();
+    std::uniform_real_distribution<double> draw(0, to_seconds(secret_proposal_spread));
+    co_await sleep_for(context_.executor, from_seconds(draw(context_.random)));
+    while (secret_.empty() && !is_leaving_) {
+        keyed_record record{std::string(secret_key), to_hex(random_bytes(secret_bytes))};
+        context_.counters.count_store_call(store_call::secret);
+        const auto appended = co_await context_.store.append(context_.topic, record, follower_.next());
+        if (!appended) {
+            log_event(log_level::warning, "fleet secret could not be written",
+                      {{"cause", appended.error().message}});
         }
+        co_await sleep_for(context_.executor, secret_read_timeout);
     }
+    is_proposing_ = false;
 }
 
 void fleet_registry::publish() {
@@ -148,24 +174,28 @@
     }
 }
 
-// Writes until the store returns the current record, since a write whose answer was lost may still take
-// effect later and overwrite a newer one.
+// Writes until the store has acknowledged the current record. A write whose answer was lost may still take
+// effect later and overwrite a newer one; its record is then read, and the current one written again.
 asio::awaitable<void> fleet_registry::write_own_record() {
+    duration backoff = min_write_backoff;
+    std::uniform_real_distribution<double> draw(0.5, 1.0);
     while (!is_leaving_ && stored_own_record_ != write_host_record(context_.members.self)) {
         co_await sleep_for(context_.executor, write_delay);
-        keyed_record record{key_of_host(context_.members.self.host()),
-                            write_host_record(context_.members.self)};
-        const std::string written = *record.value;
+        const std::string text = write_host_record(context_.members.self);
+        keyed_record record{key_of_host(context_.members.self.host()), text};
         context_.counters.count_store_call(store_call::own_record);
         const auto appended = co_await context_.store.append(context_.topic, std::move(record), std::nullopt);
-        if (!appended) {
-            log_event(log_level::warning, "own host record could not be written",
-                      {{"cause", appended.error().message}});
-        }
-        const auto until = context_.time.now() + write_retry_delay;
-        while (stored_own_record_ != written && context_.time.now() < until && !is_leaving_) {
-            co_await sleep_for(context_.executor, write_delay);
+        if (appended) {
+            acknowledged_records_.insert(text);
+            stored_own_record_ = text;
+            backoff = min_write_backoff;
+            continue;
         }
+        unanswered_records_.insert(text);
+        log_event(log_level::warning, "own host record could not be written",
+                  {{"cause", appended.error().message}});
+        co_await sleep_for(context_.executor, from_seconds(to_seconds(backoff) * draw(context_.random)));
+        backoff = std::min(max_write_backoff, backoff * 2);
     }
     is_writing_ = false;
 }
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace dandelionmount {
@@ -50,6 +51,8 @@
 private:
     void apply_records(std::span<const keyed_record> records, bool is_snapshot);
     void apply_record(const keyed_record& record);
+    void apply_own_record(const std::string& text);
+    [[nodiscard]] duration batch_delay() const;
     boost::asio::awaitable<void> propose_secret();
     boost::asio::awaitable<void> write_own_record();
 
@@ -57,8 +60,11 @@
     steady_time started_;
     topic_follower follower_;
     std::string secret_;
-    /// This host's record as last read from the store.
+    /// This host's record as last acknowledged by the store or read from it.
     std::string stored_own_record_;
+    /// Records written by this process: those that the store acknowledged, and those whose answer was lost.
+    std::set<std::string> acknowledged_records_;
+    std::set<std::string> unanswered_records_;
     bool is_writing_{false};
     bool is_proposing_{false};
     bool is_leaving_{false};
--- a/src/dandelionmount/process/local_target.h
+++ b/src/dandelionmount/process/local_target.h
@@ -63,6 +63,8 @@
     void on_change(std::function<void()> action) { action_ = std::move(action); }
 
     [[nodiscard]] const target_announcement& announced() const { return announced_; }
+    /// Start of the target's process as in its latest heartbeat; 0 before the first.
+    [[nodiscard]] std::uint64_t started() const { return latest_order_.first; }
     [[nodiscard]] bool is_ready_for(std::string_view service) const;
     [[nodiscard]] target_limiter& limiter() { return limiter_; }
     [[nodiscard]] const target_limiter& limiter() const { return limiter_; }
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -30,6 +30,10 @@
 constexpr duration configuration_end_validity = std::chrono::milliseconds(1600);
 // The same for the list of hosts, whose reads wait longer.
 constexpr duration hosts_end_validity = std::chrono::milliseconds(7000);
+// Hosts whose known ends are too old all at once read the store spread over this time.
+constexpr duration store_read_spread = std::chrono::seconds(1);
+// A host without any configuration has nothing that could be outdated, and only waits for the first one.
+constexpr duration first_configuration_poll_timeout = std::chrono::seconds(3);
 // Subtracted from the time within which a withdrawn key must stop working, for clocks that run at different
 // speeds.
 constexpr duration freshness_margin = std::chrono::milliseconds(500);
@@ -125,7 +129,11 @@
                  make_topic_peers(adapter.hosts_topic, hosts_end_validity)}),
       configuration_follower_(
           {io.get_executor(), time, counters_, store, random_, adapter.configuration_topic,
-           configuration_poll_timeout, duration{0},
+           [this] {
+               return configuration_.is_ready() ? configuration_poll_timeout
+                                                : first_configuration_poll_timeout;
+           },
+           [] { return duration{0}; },
            make_topic_peers(adapter.configuration_topic, configuration_end_validity)},
           {[this](std::span<const keyed_record> records, bool) { apply_configuration(records); },
            [this](steady_time as_of) { configuration_.record_freshness(as_of); }}),
@@ -155,14 +163,16 @@
     target_.on_change([this] { publish_target(); });
 }
 
-// Every host reports to the rate allocators several times a second, so they read the store for all hosts.
+// Every host reports to the rate allocators several times a second, so they read the store for all hosts. A
+// host without the fleet's secret knows no other host.
 topic_peers store_node::make_topic_peers(std::string topic, duration end_validity) {
     topic_peers peers;
-    peers.reads_store = [this] { return limiter_.is_rate_allocator(); };
+    peers.reads_store = [this] { return registry_.secret().empty() || limiter_.is_rate_allocator(); };
     peers.fetch = [this, topic = std::move(topic)](std::string host, std::uint64_t from) {
         return topics_.fetch(topic, std::move(host), from);
     };
     peers.end_validity = end_validity;
+    peers.read_spread = store_read_spread;
     return peers;
 }
 
@@ -235,11 +245,12 @@
     return configuration_.is_ready() && peer_server_open_ && !stopping_;
 }
 
-// Each start of the target gets its own incarnation, since each begins with a slow start.
+// Each start of the target gets its own incarnation, since each begins with a slow start. A restart of this
+// process does not change it, so that the stored record remains valid.
 void store_node::publish_target() {
     const auto& announced = target_.announced();
     auto& record = members_.self;
-    record.set_incarnation(rendezvous_weight(std::to_string(identity_.incarnation), announced.instance));
+    record.set_incarnation(rendezvous_weight(std::to_string(target_.started()), announced.instance));
     if (!announced.service.empty()) {
         record.set_service(announced.service);
     }
--- a/src/dandelionmount/process/topic_follower.cpp
+++ b/src/dandelionmount/process/topic_follower.cpp
@@ -16,10 +16,13 @@
 // Exponential backoff after failures. Its jitter keeps the hosts of a fleet apart when the store returns.
 constexpr duration min_backoff = std::chrono::milliseconds(50);
 constexpr duration max_backoff = std::chrono::milliseconds(800);
+// A host for which others read the store tries less often: it needs the store only while they fail, too.
+constexpr duration min_dependent_backoff = std::chrono::milliseconds(400);
+constexpr duration max_dependent_backoff = std::chrono::seconds(4);
 constexpr int max_doublings = 4;
-// Limits on the records kept for other hosts, which request them within a second. Few records arrive in that
-// time, but each may be a megabyte.
-constexpr std::size_t max_recent_records = 64;
+// Limits on the records kept for other hosts, which request them within a second. When a fleet starts, each
+// host writes a record in that time; a configuration may be a megabyte.
+constexpr std::size_t max_recent_records = 1024;
 constexpr std::size_t max_recent_bytes = 2UL * 1024 * 1024;
 
 std::size_t size_of(const keyed_record& record) {
@@ -85,8 +88,9 @@
 // Returns when another host reports a further end, or when the last known end is too old.
 asio::awaitable<void> topic_follower::wait_for_newer_end() {
     wake_up_.reset();
-    const auto left =
-        context_.peers->end_validity - (context_.time.now_with_suspension() - *up_to_date_as_of_);
+    std::uniform_real_distribution<double> draw(0, to_seconds(context_.peers->read_spread));
+    const auto left = context_.peers->end_validity + from_seconds(draw(context_.random)) -
+                      (context_.time.now_with_suspension() - *up_to_date_as_of_);
     co_await wake_up_.wait_until(context_.time.now() + left);
 }
 
@@ -138,7 +142,7 @@
         auto newest = co_await context_.store.read_newest(context_.topic);
         co_return newest;
     }
-    auto page = co_await context_.store.read(context_.topic, next_, context_.poll_timeout);
+    auto page = co_await context_.store.read(context_.topic, next_, context_.poll_timeout());
     co_return page;
 }
 
@@ -177,8 +181,9 @@
         if (page.value().next >= page.value().end) {
             record_up_to_date(requested_at);
         }
-        if (!page.value().records.empty() && context_.batch_delay > duration{0}) {
-            co_await sleep_for(context_.executor, context_.batch_delay);
+        const duration delay = context_.batch_delay();
+        if (!page.value().records.empty() && delay > duration{0}) {
+            co_await sleep_for(context_.executor, delay);
         }
     }
 }
@@ -189,9 +194,15 @@
     }
     const int doublings = std::min(failures_, max_doublings);
     ++failures_;
-    const duration backoff = std::min<duration>(max_backoff, min_backoff * (1 << doublings));
+    const bool depends_on_peers = relies_on_peers() && !needs_snapshot_;
+    const duration first = depends_on_peers ? min_dependent_backoff : min_backoff;
+    const duration longest = depends_on_peers ? max_dependent_backoff : max_backoff;
+    const duration backoff = std::min<duration>(longest, first * (1 << doublings));
     std::uniform_real_distribution<double> draw(0.5, 1.0);
-    co_await sleep_for(context_.executor, from_seconds(to_seconds(backoff) * draw(context_.random)));
+    // A further end that another host reports ends the wait, as its records can be fetched there.
+    wake_up_.reset();
+    co_await wake_up_.wait_until(context_.time.now() +
+                                 from_seconds(to_seconds(backoff) * draw(context_.random)));
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/process/topic_follower.h
+++ b/src/dandelionmount/process/topic_follower.h
@@ -38,6 +38,8 @@
     std::function<boost::asio::awaitable<result<topic_records>>(std::string host, std::uint64_t from)> fetch;
     /// How long the end that another host reported replaces reads of the store.
     duration end_validity{};
+    /// Hosts whose end is too old read the store spread over this time, as they lack newer ends all at once.
+    duration read_spread{};
 };
 
 /// Dependencies of a follower. All of them outlive it.
@@ -48,10 +50,10 @@
     record_store& store;
     std::mt19937_64& random;
     std::string topic;
-    /// How long one read waits for a record (long polling).
-    duration poll_timeout;
+    /// How long the next read waits for a record (long polling).
+    std::function<duration()> poll_timeout;
     /// Delay between records and the next read, so that records in quick succession are read together.
-    duration batch_delay{0};
+    std::function<duration()> batch_delay;
     /// Empty on a host that always reads the store itself.
     std::optional<topic_peers> peers;
 };
--- /dev/null
+++ b/tests/process/fleet_registry_test.cpp
@@ -0,0 +1,139 @@
+#include "dandelionmount/process/fleet_registry.h"
+
+#include "dandelionmount/process/host_record.h"
+#include "tests/support/memory_store.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+
+namespace dm = dandelionmount;
+using std::chrono::milliseconds;
+
+namespace {
+
+dm::wire::member_record make_record(const std::string& host) {
+    dm::wire::member_record record;
+    record.set_host(host);
+    record.set_zone("zone");
+    record.set_address("127.0.0.1:7000");
+    record.set_service("service");
+    record.set_target(dm::wire::target_ready);
+    record.set_target_slots(10);
+    return record;
+}
+
+// The registry of one host, on a store that it may share with others.
+struct registry_host {
+    registry_host(boost::asio::io_context& io, tests::memory_store& store, const std::string& name)
+        : random(std::hash<std::string>()(name)), members{make_record(name)},
+          registry({io.get_executor(),
+                    time,
+                    counters,
+                    store,
+                    random,
+                    members,
+                    "hosts",
+                    [] {},
+                    {[] { return true; }, {}, {}, {}}}) {
+        registry.start();
+    }
+
+    dm::system_time_source time;
+    dm::metrics counters;
+    std::mt19937_64 random;
+    dm::member_table members;
+    dm::fleet_registry registry;
+};
+
+struct registry_fixture {
+    registry_fixture() { store.max_records_per_read = 1000; }
+
+    void run(int for_ms) {
+        io.restart();
+        io.run_for(milliseconds(for_ms));
+    }
+
+    std::string stored(const std::string& host) { return store.values["host/" + host]; }
+
+    boost::asio::io_context io{1};
+    tests::memory_store store{io};
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("process");
+
+// Guards against records that were written again until they had been read back, twice a second by each host.
+TEST_CASE("A host writes its record once for each change") {
+    registry_fixture fixture;
+    fixture.store.put("secret", "1");
+    registry_host host(fixture.io, fixture.store, "a");
+    fixture.run(2500);
+    CHECK(fixture.store.appends == 1);
+    CHECK(fixture.stored("a") == dm::write_host_record(host.members.self));
+    host.members.self.set_target(dm::wire::target_draining);
+    host.registry.publish();
+    fixture.run(2500);
+    CHECK(fixture.store.appends == 2);
+    CHECK(fixture.stored("a") == dm::write_host_record(host.members.self));
+}
+
+TEST_CASE("A host that starts again with the same record does not write it") {
+    registry_fixture fixture;
+    fixture.store.put("secret", "1");
+    fixture.store.put("host/a", dm::write_host_record(make_record("a")));
+    const registry_host host(fixture.io, fixture.store, "a");
+    fixture.run(1500);
+    CHECK(fixture.store.appends == 0);
+}
+
+TEST_CASE("A host writes its record again when it was removed or overwritten") {
+    registry_fixture fixture;
+    fixture.store.put("secret", "1");
+    registry_host host(fixture.io, fixture.store, "a");
+    fixture.run(300);
+    REQUIRE(fixture.store.appends == 1);
+    fixture.store.put("host/a", "");
+    fixture.run(1500);
+    CHECK(fixture.stored("a") == dm::write_host_record(host.members.self));
+    fixture.store.put("host/a", dm::write_host_record(make_record("b")));
+    fixture.run(1500);
+    CHECK(fixture.stored("a") == dm::write_host_record(host.members.self));
+}
+
+TEST_CASE("A write that takes effect late, after its answer was lost, does not stay in force") {
+    registry_fixture fixture;
+    fixture.store.put("secret", "1");
+    registry_host host(fixture.io, fixture.store, "a");
+    const std::string ready = dm::write_host_record(host.members.self);
+    fixture.store.loses_answers = true;
+    fixture.run(300);
+    CHECK(fixture.store.appends >= 1);
+    fixture.store.loses_answers = false;
+    host.members.self.set_target(dm::wire::target_draining);
+    host.registry.publish();
+    fixture.run(1500);
+    const std::string draining = dm::write_host_record(host.members.self);
+    CHECK(fixture.stored("a") == draining);
+    fixture.store.put("host/a", ready);
+    fixture.run(1500);
+    CHECK(fixture.stored("a") == draining);
+}
+
+// Guards against a secret proposed by every host of a fleet that starts.
+TEST_CASE("Few hosts of a starting fleet propose a secret, and all use the same one") {
+    registry_fixture fixture;
+    std::vector<std::unique_ptr<registry_host>> hosts;
+    for (int host = 0; host < 100; ++host) {
+        hosts.push_back(std::make_unique<registry_host>(fixture.io, fixture.store, std::to_string(host)));
+    }
+    fixture.run(3000);
+    std::uint64_t proposals = 0;
+    for (const auto& host : hosts) {
+        proposals += host->counters.store_calls(dm::store_call::secret);
+        CHECK(host->registry.secret() == fixture.store.values["secret"]);
+    }
+    CHECK(proposals <= 20);
+}
+
+TEST_SUITE_END();
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -1,6 +1,7 @@
 #include "dandelionmount/process/topic_follower.h"
 
 #include "dandelionmount/connection/async_event.h"
+#include "tests/support/memory_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
@@ -12,72 +13,6 @@
 
 namespace {
 
-// In-memory store that can refuse calls and drop its history.
-class memory_store : public dm::record_store {
-public:
-    explicit memory_store(asio::io_context& io) : io_(io) {}
-
-    asio::awaitable<dm::result<dm::topic_records>> read_newest(std::string) override {
-        ++calls;
-        if (refuses) {
-            co_return dm::failure{"status 503"};
-        }
-        dm::topic_records found;
-        for (const auto& [key, value] : values) {
-            found.records.push_back({key, value});
-        }
-        found.next = end();
-        found.end = end();
-        co_return found;
-    }
-
-    asio::awaitable<dm::result<dm::topic_records>> read(std::string, std::uint64_t from,
-                                                        dm::duration) override {
-        ++calls;
-        co_await dm::sleep_for(io_.get_executor(), milliseconds(2));
-        if (refuses) {
-            co_return dm::failure{"status 503"};
-        }
-        dm::topic_records found;
-        found.trimmed = from < first;
-        found.end = end();
-        found.next = from;
-        while (!found.trimmed && found.next < end() && found.records.size() < max_records_per_read) {
-            found.records.push_back(log[found.next - first]);
-            ++found.next;
-        }
-        co_return found;
-    }
-
-    asio::awaitable<dm::result<dm::append_outcome>> append(std::string, dm::keyed_record record,
-                                                           std::optional<std::uint64_t>) override {
-        put(record.key, record.value.value_or(""));
-        co_return dm::append_outcome::appended;
-    }
-
-    void put(const std::string& key, const std::string& value) {
-        values[key] = value;
-        log.push_back({key, value});
-    }
-
-    void trim() {
-        first = end();
-        log.clear();
-    }
-
-    [[nodiscard]] std::uint64_t end() const { return first + log.size(); }
-
-    std::map<std::string, std::string> values;
-    std::vector<dm::keyed_record> log;
-    std::uint64_t first{0};
-    bool refuses{false};
-    std::size_t max_records_per_read{100};
-    int calls{0};
-
-private:
-    asio::io_context& io_;
-};
-
 struct follower_fixture {
     void run(int for_ms) {
         io.restart();
@@ -88,11 +23,12 @@
     dm::system_time_source time;
     dm::metrics counters;
     std::mt19937_64 random{1};
-    memory_store store{io};
+    tests::memory_store store{io};
     std::map<std::string, std::string> seen;
     std::optional<dm::steady_time> caught_up;
-    dm::topic_follower follower{{io.get_executor(), time, counters, store, random, "topic", milliseconds(10),
-                                 dm::duration{0}, std::nullopt},
+    dm::topic_follower follower{{io.get_executor(), time, counters, store, random, "topic",
+                                 [] { return milliseconds(10); }, [] { return dm::duration{0}; },
+                                 std::nullopt},
                                 {[this](std::span<const dm::keyed_record> records, bool) {
                                      for (const auto& record : records) {
                                          seen[record.key] = record.value.value_or("");
@@ -116,9 +52,9 @@
             dm::topic_records found{*records, from + records->size(), from + records->size()};
             co_return found;
         };
-        follower.emplace(dm::topic_follower_context{reader.io.get_executor(), reader.time, counters,
-                                                    own_store, reader.random, "topic", milliseconds(10),
-                                                    dm::duration{0}, peers},
+        follower.emplace(dm::topic_follower_context{
+                             reader.io.get_executor(), reader.time, counters, own_store, reader.random,
+                             "topic", [] { return milliseconds(10); }, [] { return dm::duration{0}; }, peers},
                          dm::topic_handlers{[this](std::span<const dm::keyed_record> records, bool) {
                                                 for (const auto& record : records) {
                                                     seen[record.key] = record.value.value_or("");
@@ -147,7 +83,7 @@
 
     follower_fixture reader;
     dm::metrics counters;
-    memory_store own_store{reader.io};
+    tests::memory_store own_store{reader.io};
     bool reads_store{false};
     bool fetch_works{true};
     std::optional<dm::topic_follower> follower;
@@ -293,4 +229,35 @@
     CHECK_FALSE(fixture.follower.records_from(4));
 }
 
+// Guards against hosts that start together: the records of 195 of them were more than a host kept, so all
+// read the store.
+TEST_CASE("A follower hands on the records of a fleet of hundreds that has just started") {
+    follower_fixture fixture;
+    fixture.store.put("secret", "1");
+    fixture.follower.start();
+    fixture.run(30);
+    fixture.store.max_records_per_read = 1000;
+    for (int host = 0; host < 500; ++host) {
+        fixture.store.put("host/" + std::to_string(host), "record");
+    }
+    fixture.run(30);
+    const auto records = fixture.follower.records_from(1);
+    REQUIRE(records);
+    CHECK(records->size() == 500);
+}
+
+// Guards against a fleet that calls a refusing store from all hosts at once, again and again.
+TEST_CASE("While the store refuses all hosts, those that do not read for the others call it seldom") {
+    sharing_fixture fixture;
+    fixture.run_with_peer_ends(40);
+    fixture.own_store.refuses = true;
+    fixture.own_store.calls = 0;
+    fixture.reader.run(4000);
+    CHECK(fixture.own_store.calls <= 5);
+    fixture.own_store.refuses = false;
+    fixture.put("a", "2");
+    fixture.run_with_peer_ends(300);
+    CHECK(fixture.seen["a"] == "2");
+}
+
 TEST_SUITE_END();
