--- a/src/dandelionmount/process/retry_allocation.cpp
+++ b/src/dandelionmount/process/retry_allocation.cpp
@@ -11,6 +11,9 @@
 // Part of the limit that is granted. The rest covers repeats that are known late or not at all: tokens whose
 // grant crossed a report, and the calls of repeated runs that were attributed to other runs.
 constexpr double granted_part = 0.8;
+// Parts of the window's budget and of the slack that may be used at once.
+constexpr double burst_of_budget = 0.15;
+constexpr double burst_of_slack = 0.3;
 // Time constant of the EWMA of the rates.
 constexpr duration averaging_time = std::chrono::milliseconds(500);
 // Tokens cover the demand of this time: the interval between reports and a margin.
@@ -99,6 +102,22 @@
     return least;
 }
 
+// Repeats allowed in the window that ends now.
+double budget_of_window(const service_retry_pool& pool, const fleet_retry_limit& limit, double slack) {
+    const double requests = counted_requests(pool.requests, window_history::bins_per_window - 1);
+    return granted_part * (limit.share * requests + slack);
+}
+
+void refill_paced_tokens(service_retry_pool& pool, const fleet_retry_limit& limit, double slack,
+                         steady_time now) {
+    const double budget = budget_of_window(pool, limit, slack);
+    const double burst = burst_of_budget * budget + burst_of_slack * slack;
+    const double windows =
+        pool.paced_at == steady_time{} ? 1 : to_seconds(now - pool.paced_at) / to_seconds(limit.window);
+    pool.paced_at = now;
+    pool.paced_tokens = std::min(burst, pool.paced_tokens + windows * budget);
+}
+
 void update_rates(host_retry_quota& quota, steady_time now) {
     const double elapsed = quota.reported_at == steady_time{} ? 1 : to_seconds(now - quota.reported_at);
     if (elapsed <= 0) {
@@ -191,8 +210,12 @@
     grant.wanted = usage.wanted;
     grant.pressure = retry_pressure(pool, limit, now);
     if (usage.wanted > 0) {
-        const double remaining = remaining_repeats(pool, limit, limit.slack * reachable_fraction, now);
-        const double granted = std::floor(std::clamp(remaining, 0.0, static_cast<double>(usage.wanted)));
+        const double slack = limit.slack * reachable_fraction;
+        const double remaining = remaining_repeats(pool, limit, slack, now);
+        refill_paced_tokens(pool, limit, slack, now);
+        const double granted = std::floor(
+            std::clamp(std::min(remaining, pool.paced_tokens), 0.0, static_cast<double>(usage.wanted)));
+        pool.paced_tokens -= granted;
         pool.repeats.add(granted, now);
         reported.all.repeats += granted;
         grant.tokens = static_cast<std::uint32_t>(granted);
@@ -212,8 +235,7 @@
     }
     pool.requests.advance(now);
     const double needed = pool.demand_rate * failing / (1 - failing);
-    const double requests = counted_requests(pool.requests, window_history::bins_per_window - 1);
-    const double allowed = granted_part * (limit.share * requests + limit.slack) / to_seconds(limit.window);
+    const double allowed = budget_of_window(pool, limit, limit.slack) / to_seconds(limit.window);
     // Share of the requests that succeed if all are admitted, and if only those are whose calls can be
     // repeated.
     const double call_success = (1 - failing) * (1 + granted_part * limit.share);
--- a/src/dandelionmount/process/retry_allocation.h
+++ b/src/dandelionmount/process/retry_allocation.h
@@ -133,6 +133,9 @@
     double attempt_rate{0};
     double failure_rate{0};
     steady_time expired_at;
+    /// Tokens that may be granted now without using the budget of the window too early.
+    double paced_tokens{0};
+    steady_time paced_at;
     /// Whether requests are shed for the pressure.
     bool has_pressure{false};
     /// Whether shedding has lowered the budget so far that it no longer serves more; until the service
@@ -140,9 +143,10 @@
     bool is_budget_worn{false};
 };
 
-/// Records a host's report and grants whole tokens, at most those it wants. Only the `reachable_fraction` of
-/// the slack is used, the fraction of the fleet's hosts that report to this allocator. A host's report counts
-/// for one window after it was received.
+/// Records a host's report and grants whole tokens, at most those it wants. A part of the budget may be used
+/// at once, the rest evenly over the window, so that a failure that lasts does not leave its later requests
+/// without retries. Only the `reachable_fraction` of the slack is used, the fraction of the fleet's hosts
+/// that report to this allocator. A host's report counts for one window after it was received.
 [[nodiscard]] retry_grant grant_retries(service_retry_pool& pool, std::string_view host,
                                         const retry_usage& usage, const fleet_retry_limit& limit,
                                         double reachable_fraction, steady_time now);
