Decide for all ingress nodes together which requests are shed

Cause: each ingress node shed by the answers and arrivals that it saw itself. At 195 hosts these are three requests a second: the pressure is learnt late and forgotten when few answers come, and the order of priorities is lost where a node happens to see none of the unimportant requests.

Change: ingress nodes report arrivals and received demand ratios with their reports to one allocator, which decides the shares for the fleet by the same rules. A node that gets no decision for a second decides alone, as before.

--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -118,12 +118,13 @@
            [this](std::string service) { return limiter_.report_retries(std::move(service)); }}),
       dispatcher_(make_dispatcher_context(time, counters_, configuration_, members_, peers_, executor_,
                                           random_, retry_limiter_, pressure_)),
-      topics_(time, peers_), outlier_detector_(time, settings_.host, target_,
-                                               [this](const std::string& host, const target_health& health) {
-                                                   dispatcher_.record_worker_comparison(host, health);
-                                               }),
+      admission_(time, dispatcher_.ingress_shedder()), topics_(time, peers_),
+      outlier_detector_(time, settings_.host, target_,
+                        [this](const std::string& host, const target_health& health) {
+                            dispatcher_.record_worker_comparison(host, health);
+                        }),
       limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_,
-                outlier_detector_, retry_limiter_}),
+                outlier_detector_, retry_limiter_, admission_}),
       registry_({io.get_executor(), time, counters_, store, random_, members_, adapter.hosts_topic,
                  [this] { handle_registry_change(); },
                  make_topic_peers(adapter.hosts_topic, hosts_end_validity)}),
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -75,6 +75,7 @@
     executor executor_;
     fleet_retry_limiter retry_limiter_;
     dispatcher dispatcher_;
+    fleet_admission admission_;
     topic_sharing topics_;
     outlier_detector outlier_detector_;
     fleet_limiter limiter_;
--- a/src/dandelionmount/request/priority_shedder.cpp
+++ b/src/dandelionmount/request/priority_shedder.cpp
@@ -1,6 +1,7 @@
 #include "dandelionmount/request/priority_shedder.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace dandelionmount {
@@ -12,6 +13,8 @@
 constexpr duration rate_averaging_time = std::chrono::milliseconds(500);
 // Share admitted in any overload, so that its end is detected.
 constexpr double probe_share = 0.02;
+// Shares for the fleet are received several times a second.
+constexpr duration fleet_shares_validity = std::chrono::seconds(1);
 
 request_class class_of_route(std::string_view route) {
     return {std::string(route), 0, {}};
@@ -61,16 +64,65 @@
 
 void record_pressure(priority_shedder& shedder, std::string_view route, double ratio, steady_time now) {
     record_ratio(shedder.ratios, class_of_route(route), ratio, now);
+    ratio_sum& reported = shedder.report.ratios[std::string(route)];
+    reported.sum += ratio;
+    reported.answers += 1;
 }
 
 double record_arrival_at_ingress(priority_shedder& shedder, std::string_view route, std::uint32_t priority,
                                  steady_time now) {
-    route_priority_demand& demand = shedder.demands[{priority, std::string(route)}];
+    const priority_route key{priority, std::string(route)};
+    route_priority_demand& demand = shedder.demands[key];
     demand.arrived += 1;
+    shedder.report.arrivals[key] += 1;
     if (now - shedder.window_began >= sampling_window) {
         end_window(shedder, now);
     }
-    return demand.admitted_share;
+    if (now - shedder.fleet_shares_as_of >= fleet_shares_validity) {
+        return demand.admitted_share;
+    }
+    const auto decided = shedder.fleet_shares.find(key);
+    return decided == shedder.fleet_shares.end() ? 1 : decided->second;
+}
+
+ingress_report take_report(priority_shedder& shedder) {
+    return std::exchange(shedder.report, {});
+}
+
+void add_report(priority_shedder& fleet, const ingress_report& report, steady_time now) {
+    for (const auto& [key, arrived] : report.arrivals) {
+        fleet.demands[key].arrived += arrived;
+    }
+    for (const auto& [route, received] : report.ratios) {
+        ratio_sum& ratios = fleet.report.ratios[route];
+        ratios.sum += received.sum;
+        ratios.answers += received.answers;
+    }
+    if (now - fleet.window_began < sampling_window) {
+        return;
+    }
+    // One mean for a window, so that the ratio does not follow the answers that came last.
+    const ingress_report window = take_report(fleet);
+    for (const auto& [route, ratios] : window.ratios) {
+        record_ratio(fleet.ratios, class_of_route(route), ratios.sum / ratios.answers, now);
+    }
+    end_window(fleet, now);
+}
+
+std::map<priority_route, double> shares_below_one(const priority_shedder& fleet) {
+    std::map<priority_route, double> shares;
+    for (const auto& [key, demand] : fleet.demands) {
+        if (demand.admitted_share < 1) {
+            shares[key] = demand.admitted_share;
+        }
+    }
+    return shares;
+}
+
+void apply_fleet_shares(priority_shedder& shedder, std::map<priority_route, double> shares,
+                        steady_time requested_at) {
+    shedder.fleet_shares = std::move(shares);
+    shedder.fleet_shares_as_of = requested_at;
 }
 
 } // namespace dandelionmount
