Tell callers that a request did not run where that is known

Cause: on platforms whose callers only see the status, a request that waited at its target's host until its deadline was answered 504, which promises nothing, so callers may not send an unsafe request again.

Change: such requests get the status of a refusal where no outcome header tells more. At the deadline the sender cancels the attempt and waits up to 50 ms for what became of it; a late answer is delivered.

Result: two tests; with the deadline 200 ms later at the receiver, 20 of 20 requests that still wait are reported as not run.

--- a/src/dandelionmount/connection/http_headers.cpp
+++ b/src/dandelionmount/connection/http_headers.cpp
@@ -125,14 +125,15 @@
 }
 
 // Status for a request that was not refused at once, but has no response of a target to pass on.
-unsigned failure_status(wire::forward_outcome outcome, reason why) {
+unsigned failure_status(wire::forward_outcome outcome, reason why, const http_protocol& protocol) {
     constexpr unsigned bad_gateway = 502;
     constexpr unsigned gateway_timeout = 504;
-    if (outcome == wire::not_run && why != reason::deadline && why != reason::expired_in_queue) {
+    const bool has_expired = why == reason::deadline || why == reason::expired_in_queue;
+    // Without the outcome header, only the status of a refusal tells callers that nothing ran.
+    if (outcome == wire::not_run && (!has_expired || !protocol.sends_outcome_headers)) {
         return refusal_status(why);
     }
-    const bool is_timeout = why == reason::deadline || why == reason::expired_in_queue ||
-                            why == reason::key_in_progress || why == reason::caller_gone;
+    const bool is_timeout = has_expired || why == reason::key_in_progress || why == reason::caller_gone;
     return is_timeout ? gateway_timeout : bad_gateway;
 }
 
@@ -324,7 +325,7 @@
         }
         response.body() = reply.body();
     } else {
-        const unsigned status = failure_status(reply.outcome(), why);
+        const unsigned status = failure_status(reply.outcome(), why, protocol);
         response = make_text_response(status, "text/plain", std::string(reason_token(why)) + "\n");
         response.set(std::string(reason_header), std::string(reason_token(why)));
         set_retry_after(response, std::chrono::milliseconds(reply.retry_after_ms()), protocol);
--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -23,6 +23,8 @@
 // How long to try to settle the outcome of a request after its connection was lost.
 constexpr duration settle_timeout = std::chrono::milliseconds(2500);
 constexpr duration settle_reply_timeout = std::chrono::milliseconds(700);
+// How long the reply to an attempt that was cancelled at its deadline is waited for.
+constexpr duration cancel_reply_timeout = std::chrono::milliseconds(50);
 constexpr duration reconnect_delay = std::chrono::milliseconds(20);
 // Backoff between attempts to connect in the background; it doubles from the minimum to the maximum.
 constexpr duration min_reconnect_backoff = std::chrono::milliseconds(100);
@@ -375,8 +377,8 @@
             co_return arrived->forward_reply();
         }
         if (!changed) {
-            send_cancel(request);
-            co_return make_reply(request, wire::unknown, reason::deadline);
+            auto last = co_await cancel_at_deadline(request, pending);
+            co_return last;
         }
         if (!context_.settles || (context_.skips_settling_if_idempotent && request.idempotent())) {
             co_return make_reply(request, wire::unknown, reason::peer_lost);
@@ -398,6 +400,23 @@
     }
 }
 
+// Cancels an attempt at its deadline and waits briefly for what became of it: one that still waited for its
+// target has not run, which lets callers send it again.
+asio::awaitable<wire::forward_reply> peer_link::cancel_at_deadline(const wire::forward_request& request,
+                                                                   pending_pointer pending) {
+    send_cancel(request);
+    const bool changed = co_await pending->changed.wait_until(context_.time.now() + cancel_reply_timeout);
+    if (!changed || !pending->reply) {
+        co_return make_reply(request, wire::unknown, reason::deadline);
+    }
+    auto reply = pending->reply->forward_reply();
+    send_ack(reply);
+    if (reason_from_token(reply.reason()) == reason::caller_gone) {
+        reply.set_reason(std::string(reason_token(reason::deadline)));
+    }
+    co_return reply;
+}
+
 // Finds out on a new connection whether a request ran whose connection was lost.
 asio::awaitable<peer_link::settle_outcome>
 peer_link::settle(const wire::forward_request& request, std::uint64_t incarnation, steady_time deadline) {
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -78,6 +78,8 @@
     void report_reachable(bool reachable) const;
     void log_loss() const;
     void log_settlement(const wire::forward_request& request, settle_outcome outcome, duration took) const;
+    boost::asio::awaitable<wire::forward_reply> cancel_at_deadline(const wire::forward_request& request,
+                                                                   pending_pointer pending);
     pending_pointer add_pending(const std::string& key);
     boost::asio::awaitable<settle_outcome> settle(const wire::forward_request& request,
                                                   std::uint64_t incarnation, steady_time deadline);
--- a/src/dandelionmount/process/fleet_retry_limiter.cpp
+++ b/src/dandelionmount/process/fleet_retry_limiter.cpp
@@ -20,8 +20,8 @@
     dandelionmount::record_request(quota_of(service), weight, repeat_share, time_.now_with_suspension());
 }
 
-void fleet_retry_limiter::record_failure(std::string_view service) {
-    dandelionmount::record_failure(quota_of(service));
+void fleet_retry_limiter::record_failure(std::string_view service, bool rejected) {
+    dandelionmount::record_failure(quota_of(service), rejected);
 }
 
 double fleet_retry_limiter::pressure(std::string_view service) const {
@@ -65,7 +65,7 @@
         written->set_wanted(usage.wanted);
         written->set_demand_rate(static_cast<float>(usage.demand_rate));
         written->set_attempt_rate(static_cast<float>(usage.attempt_rate));
-        written->set_failure_rate(static_cast<float>(usage.failure_rate));
+        written->set_rejection_rate(static_cast<float>(usage.rejection_rate));
     }
 }
 
@@ -79,7 +79,7 @@
         usage.wanted = reported.wanted();
         usage.demand_rate = reported.demand_rate();
         usage.attempt_rate = reported.attempt_rate();
-        usage.failure_rate = reported.failure_rate();
+        usage.rejection_rate = reported.rejection_rate();
         service_retry_pool& pool = pools_.try_emplace(reported.service(), settings_.window).first->second;
         const bool had_pressure = pool.has_pressure;
         const retry_grant granted = grant_retries(pool, host, usage, limit(), reachable_fraction, now);
@@ -88,7 +88,7 @@
                       {{"service", reported.service()},
                        {"pressure", std::to_string(granted.pressure)},
                        {"attempts_per_s", std::to_string(pool.attempt_rate)},
-                       {"failures_per_s", std::to_string(pool.failure_rate)},
+                       {"rejections_per_s", std::to_string(pool.rejection_rate)},
                        {"demand_per_s", std::to_string(pool.demand_rate)},
                        {"budget_worn", pool.is_budget_worn ? "1" : "0"}});
         }
--- a/src/dandelionmount/process/fleet_retry_limiter.h
+++ b/src/dandelionmount/process/fleet_retry_limiter.h
@@ -42,7 +42,7 @@
         : time_(time), members_(members), settings_(settings), allocators_(std::move(allocators)) {}
 
     void record_request(std::string_view service, double weight, double repeat_share) override;
-    void record_failure(std::string_view service) override;
+    void record_failure(std::string_view service, bool rejected) override;
     boost::asio::awaitable<bool> use_one(std::string service) override;
     [[nodiscard]] double pressure(std::string_view service) const override;
 
--- a/src/dandelionmount/process/retry_allocation.cpp
+++ b/src/dandelionmount/process/retry_allocation.cpp
@@ -30,10 +30,10 @@
 // before requests are shed, and a high one while they are (hysteresis).
 constexpr double min_selection_gain = 1.2;
 constexpr double max_selection_gain = 2;
-// Share of failed attempts below which the service counts as recovered.
-constexpr double recovered_failure_share = 0.2;
+// Share of rejected attempts below which the service counts as recovered.
+constexpr double recovered_rejection_share = 0.2;
 // Higher shares can't be told from a service that is down.
-constexpr double max_failure_share = 0.9;
+constexpr double max_rejection_share = 0.9;
 // A pressure reported longer ago does not count; reports are made several times a second.
 constexpr duration pressure_validity = std::chrono::seconds(1);
 
@@ -44,7 +44,7 @@
 void add_rates(service_retry_pool& pool, const reported_usage& usage, double sign) {
     pool.demand_rate += sign * usage.demand_rate;
     pool.attempt_rate += sign * usage.attempt_rate;
-    pool.failure_rate += sign * usage.failure_rate;
+    pool.rejection_rate += sign * usage.rejection_rate;
 }
 
 void remove_expired(service_retry_pool& pool, duration window, steady_time now) {
@@ -56,7 +56,7 @@
     // Computed anew, so that rounding errors do not add up.
     pool.demand_rate = 0;
     pool.attempt_rate = 0;
-    pool.failure_rate = 0;
+    pool.rejection_rate = 0;
     for (const auto& [host, reported] : pool.hosts) {
         add_rates(pool, reported, 1);
     }
@@ -127,9 +127,11 @@
     quota.demand_rate += weight * (quota.demanded / elapsed - quota.demand_rate);
     quota.attempt_rate += weight * (quota.attempts / elapsed - quota.attempt_rate);
     quota.failure_rate += weight * (quota.failures / elapsed - quota.failure_rate);
+    quota.rejection_rate += weight * (quota.rejections / elapsed - quota.rejection_rate);
     quota.demanded = 0;
     quota.attempts = 0;
     quota.failures = 0;
+    quota.rejections = 0;
     quota.reported_at = now;
 }
 
@@ -144,8 +146,9 @@
     quota.all_repeats += repeat_share;
 }
 
-void record_failure(host_retry_quota& quota) {
+void record_failure(host_retry_quota& quota, bool rejected) {
     quota.failures += 1;
+    quota.rejections += rejected ? 1 : 0;
 }
 
 bool use_retry(host_retry_quota& quota, const fleet_retry_limit& limit, bool reachable, steady_time now) {
@@ -181,7 +184,7 @@
     usage.wanted = static_cast<std::uint32_t>(std::max(wanted, 0.0));
     usage.demand_rate = quota.demand_rate;
     usage.attempt_rate = quota.attempt_rate;
-    usage.failure_rate = quota.failure_rate;
+    usage.rejection_rate = quota.rejection_rate;
     return usage;
 }
 
@@ -204,7 +207,7 @@
     reported_usage& reported = entry->second;
     record_totals(pool, reported, usage, !is_new, now);
     add_rates(pool, reported, -1);
-    reported = {usage.all, usage.demand_rate, usage.attempt_rate, usage.failure_rate, now};
+    reported = {usage.all, usage.demand_rate, usage.attempt_rate, usage.rejection_rate, now};
     add_rates(pool, reported, 1);
     retry_grant grant;
     grant.wanted = usage.wanted;
@@ -227,18 +230,18 @@
     if (pool.attempt_rate <= 0) {
         return 0;
     }
-    const double failing = std::min(max_failure_share, pool.failure_rate / pool.attempt_rate);
-    if (failing < recovered_failure_share) {
+    const double rejected = std::min(max_rejection_share, pool.rejection_rate / pool.attempt_rate);
+    if (rejected < recovered_rejection_share) {
         pool.is_budget_worn = false;
         pool.has_pressure = false;
         return 0;
     }
     pool.requests.advance(now);
-    const double needed = pool.demand_rate * failing / (1 - failing);
+    const double needed = pool.demand_rate * rejected / (1 - rejected);
     const double allowed = budget_of_window(pool, limit, limit.slack) / to_seconds(limit.window);
     // Share of the requests that succeed if all are admitted, and if only those are whose calls can be
     // repeated.
-    const double call_success = (1 - failing) * (1 + granted_part * limit.share);
+    const double call_success = (1 - rejected) * (1 + granted_part * limit.share);
     const double success_of_all = std::pow(std::min(1.0, call_success), assumed_calls);
     const double success_of_few = needed > 0 ? allowed / needed : 1;
     if (success_of_few >= 1) {
--- a/src/dandelionmount/process/retry_allocation.h
+++ b/src/dandelionmount/process/retry_allocation.h
@@ -48,15 +48,17 @@
     double all_repeats{0};
     double tokens{0};
     steady_time valid_until;
-    /// Since the last report: requests, weighted by the requests that each represents, attempts, and attempts
-    /// that failed and could be repeated.
+    /// Since the last report: requests, weighted by the requests that each represents, attempts, attempts
+    /// that failed and could be repeated, and those of them that targets rejected.
     double demanded{0};
     double attempts{0};
     double failures{0};
+    double rejections{0};
     /// EWMA of the same, per second.
     double demand_rate{0};
     double attempt_rate{0};
     double failure_rate{0};
+    double rejection_rate{0};
     steady_time reported_at;
     steady_time last_urgent_request_at;
     /// Whether the latest grant was smaller than requested.
@@ -80,10 +82,10 @@
     /// Tokens requested in addition.
     std::uint32_t wanted{0};
     /// Requests per second that the fleet's callers demand through this host, those shed at ingress nodes
-    /// included; attempts, and those that failed.
+    /// included; attempts, and those that targets rejected.
     double demand_rate{0};
     double attempt_rate{0};
-    double failure_rate{0};
+    double rejection_rate{0};
 };
 
 /// Answer to a report.
@@ -97,8 +99,8 @@
 /// Records a request for the service. `weight` is the number of requests that it represents; `repeat_share`
 /// is the probability that the request itself is a call made by a run that was a repeat.
 void record_request(host_retry_quota& quota, double weight, double repeat_share, steady_time now);
-/// Records a failed attempt that could be repeated.
-void record_failure(host_retry_quota& quota);
+/// Records a failed attempt that could be repeated; `rejected` if its target rejected it.
+void record_failure(host_retry_quota& quota, bool rejected);
 /// Uses one retry: a granted token while the allocator is `reachable`, otherwise one of the host's own share.
 [[nodiscard]] bool use_retry(host_retry_quota& quota, const fleet_retry_limit& limit, bool reachable,
                              steady_time now);
@@ -116,7 +118,7 @@
     retry_totals all;
     double demand_rate{0};
     double attempt_rate{0};
-    double failure_rate{0};
+    double rejection_rate{0};
     steady_time received_at;
 };
 
@@ -131,7 +133,7 @@
     /// Totals over `hosts`, per second.
     double demand_rate{0};
     double attempt_rate{0};
-    double failure_rate{0};
+    double rejection_rate{0};
     steady_time expired_at;
     /// Tokens that may be granted now without using the budget of the window too early.
     double paced_tokens{0};
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -237,11 +237,12 @@
         const retry_decision retry{once_more ? why : reason::none};
         co_return retry;
     }
-    context_.retries.record_failure(order.request.service());
+    const bool rejected = proved_not_run && why == reason::target_shed;
+    context_.retries.record_failure(order.request.service(), rejected);
     // A call that its target rejects has not run, so it may be sent to the same worker again, which the limit
     // on the number of workers does not count.
-    const bool at_same_worker = order.allowance->left() == 0 && order.request.is_call() && proved_not_run &&
-                                why == reason::target_shed && order.request.attempt() < max_rejected_attempts;
+    const bool at_same_worker = order.allowance->left() == 0 && order.request.is_call() && rejected &&
+                                order.request.attempt() < max_rejected_attempts;
     if (order.allowance->left() == 0 && !at_same_worker) {
         context_.counters.count_refusal(reason::allowance_spent);
         co_return no_retry;
--- a/src/dandelionmount/request/local_retry_limiter.h
+++ b/src/dandelionmount/request/local_retry_limiter.h
@@ -17,7 +17,7 @@
     explicit local_retry_limiter(const configuration_store& configuration) : configuration_(configuration) {}
 
     void record_request(std::string_view service, double weight, double repeat_share) override;
-    void record_failure(std::string_view /*service*/) override {}
+    void record_failure(std::string_view /*service*/, bool /*rejected*/) override {}
     boost::asio::awaitable<bool> use_one(std::string service) override;
     [[nodiscard]] double pressure(std::string_view /*service*/) const override { return 0; }
 
--- a/src/dandelionmount/request/retry_limiter.h
+++ b/src/dandelionmount/request/retry_limiter.h
@@ -19,8 +19,8 @@
     /// it represents, those shed at ingress nodes included; `repeat_share` is the probability that it is a
     /// call made by a run that was itself a repeat.
     virtual void record_request(std::string_view service, double weight, double repeat_share) = 0;
-    /// Records an attempt that failed and could be repeated.
-    virtual void record_failure(std::string_view service) = 0;
+    /// Records an attempt that failed and could be repeated; `rejected` if its target rejected it.
+    virtual void record_failure(std::string_view service, bool rejected) = 0;
     /// Uses one retry at the service; false when the budget does not allow it.
     virtual boost::asio::awaitable<bool> use_one(std::string service) = 0;
     /// Ratio of the retries that all requests for the service would need to those that the budget allows, if
--- a/tests/connection/http_headers_test.cpp
+++ b/tests/connection/http_headers_test.cpp
@@ -95,6 +95,23 @@
     CHECK(dm::make_response(reply)["Dandelion-Outcome"] == "not-run");
 }
 
+// Guards against 504 for requests that reached no target: such callers may not send them again.
+TEST_CASE(
+    "Where only the status tells the outcome, a request that did not run gets the status of a refusal") {
+    dm::http_protocol protocol;
+    protocol.sends_outcome_headers = false;
+    dm::wire::forward_reply reply;
+    reply.set_outcome(dm::wire::not_run);
+    for (const char* why : {"expired_in_queue", "deadline", "peer_unreachable"}) {
+        CAPTURE(why);
+        reply.set_reason(why);
+        CHECK(dm::make_response(reply, protocol).result_int() == 503);
+    }
+    reply.set_outcome(dm::wire::unknown);
+    reply.set_reason("deadline");
+    CHECK(dm::make_response(reply, protocol).result_int() == 504);
+}
+
 TEST_CASE("A bearer key is read whatever the case of the scheme") {
     auto request = make_request();
     CHECK(dm::api_key_of(request) == "top-secret-key");
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -108,7 +108,8 @@
         co_return dm::make_text_response(200, "text/plain", std::string(request["Dandelion-Request"]));
     }
 
-    asio::awaitable<void> send(std::string id, dm::duration limit) {
+    // The receiver believes that it has `extra_time` more than the limit, as after a slow transit.
+    asio::awaitable<void> send(std::string id, dm::duration limit, dm::duration extra_time = {}) {
         ++open_requests;
         wire::forward_request request;
         request.set_id(id);
@@ -118,7 +119,7 @@
         request.set_method("POST");
         request.set_path("/x");
         request.set_priority(4);
-        request.set_remaining_ms(dm::to_milliseconds(limit));
+        request.set_remaining_ms(dm::to_milliseconds(limit + extra_time));
         auto cancel = std::make_shared<dm::cancel_token>();
         if (random() % 12 == 0) {
             auto timer = std::make_shared<asio::steady_timer>(io, milliseconds(random() % 30));
@@ -328,6 +329,28 @@
     CHECK(fixture.runs.empty());
 }
 
+// Guards against 504 for a request that waited at its target's host until the deadline, and so did not run.
+TEST_CASE("A request that still waits for its target at the deadline is reported as not run") {
+    link_fixture fixture(3, true);
+    fixture.min_run_time = milliseconds(400);
+    for (int number = 0; number < 3; ++number) {
+        asio::co_spawn(fixture.io, fixture.send("running-" + std::to_string(number), std::chrono::seconds(2)),
+                       asio::detached);
+    }
+    fixture.io.run_for(milliseconds(50));
+    for (int number = 0; number < 20; ++number) {
+        asio::co_spawn(
+            fixture.io,
+            fixture.send("waiting-" + std::to_string(number), milliseconds(100 + number), milliseconds(200)),
+            asio::detached);
+    }
+    REQUIRE(fixture.run_until_quiet(std::chrono::seconds(3)));
+    fixture.check_all();
+    for (int number = 0; number < 20; ++number) {
+        CHECK(fixture.outcomes.at("waiting-" + std::to_string(number)) == wire::not_run);
+    }
+}
+
 // Guards against replies that are lost when the record store reports that their host has left: callers got
 // 502 for requests that had run.
 TEST_CASE("A request running on a host that is removed from the member list still gets its reply") {
--- a/tests/process/retry_allocation_test.cpp
+++ b/tests/process/retry_allocation_test.cpp
@@ -49,7 +49,7 @@
 
     bool use_retry(std::size_t host) {
         dm::host_retry_quota& quota = quotas.at(host);
-        dm::record_failure(quota);
+        dm::record_failure(quota, true);
         if (dm::use_retry(quota, limit, allocator_reachable, now)) {
             return true;
         }
