Leave routes with few of a service's calls out of its pressure, and poll less at the start

Change: a route counts as calling a service from a quarter of the calls of the route that calls it most. A host that starts waits longer in a poll, as nobody relies on its proofs yet, and longer for its target.

--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -28,7 +28,7 @@
 constexpr duration fleet_start_duration = std::chrono::seconds(4);
 // A host that has just started is published together with its target, unless the target takes longer than
 // this.
-constexpr duration target_wait_limit = std::chrono::seconds(2);
+constexpr duration target_wait_limit = std::chrono::seconds(3);
 // Exponential backoff after a write that failed. Its jitter keeps the hosts of a fleet apart.
 constexpr duration min_write_backoff = std::chrono::milliseconds(500);
 constexpr duration max_write_backoff = std::chrono::seconds(4);
--- a/src/dandelionmount/process/service_pressure.cpp
+++ b/src/dandelionmount/process/service_pressure.cpp
@@ -14,6 +14,9 @@
 constexpr double ewma_weight = 0.1;
 // Mean number of calls per request from which a route counts as calling a service.
 constexpr double min_calls = 0.3;
+// The same as a share of the calls of the route that calls the service most. The attribution gives a part of
+// its calls to routes that run beside it, above all while calls fail and their requests end early.
+constexpr double min_relative_calls = 0.25;
 // Requests that one arrival can represent; corresponds to the smallest share that ingress nodes admit, 0.02.
 constexpr double max_weight = 50;
 // Headroom over the limit while the queue stays empty, so that spare capacity is found.
@@ -36,6 +39,17 @@
     return calls_per_second(pressure.attribution, route, service) * load.run_time;
 }
 
+// Whether requests of the route call the service.
+bool leads_to(const service_pressure& pressure, std::string_view route, const route_load& load,
+              std::string_view service) {
+    double most = 0;
+    for (const auto& [other, other_load] : pressure.routes) {
+        most = std::max(most, calls_per_request(pressure, other, other_load, service));
+    }
+    const double calls = calls_per_request(pressure, route, load, service);
+    return calls >= min_calls && calls >= min_relative_calls * most;
+}
+
 // Concurrent requests that the target can take, estimated from its limit and its queue.
 double usable_limit(const target_limiter& limiter) {
     if (limiter.max_queued == 0) {
@@ -123,7 +137,7 @@
         return highest;
     }
     for (const auto& [service, entry] : pressure.callee_ratios) {
-        if (calls_per_request(pressure, route, load->second, service.route) >= min_calls) {
+        if (leads_to(pressure, load->first, load->second, service.route)) {
             highest = std::max(highest, current_ratio(pressure.callee_ratios, service, now));
         }
     }
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -32,8 +32,9 @@
 constexpr duration hosts_end_validity = std::chrono::milliseconds(7000);
 // Hosts whose known ends are too old all at once read the store spread over this time.
 constexpr duration store_read_spread = std::chrono::seconds(1);
-// A host without any configuration has nothing that could be outdated, and only waits for the first one.
-constexpr duration first_configuration_poll_timeout = std::chrono::seconds(3);
+// A host that starts needs no proofs of freshness for others yet, and only waits for records.
+constexpr duration start_poll_timeout = std::chrono::milliseconds(2500);
+constexpr duration start_duration = std::chrono::seconds(4);
 // Subtracted from the time within which a withdrawn key must stop working, for clocks that run at different
 // speeds.
 constexpr duration freshness_margin = std::chrono::milliseconds(500);
@@ -99,7 +100,7 @@
 
 store_node::store_node(asio::io_context& io, const store_settings& own, const platform_adapter& adapter,
                        record_store& store, const time_source& time)
-    : io_(io), settings_(own), adapter_(adapter), time_(time), random_(random_number()),
+    : io_(io), settings_(own), adapter_(adapter), time_(time), started_(time.now()), random_(random_number()),
       identity_{own.host, random_number(), {}}, members_{make_own_record(own, identity_.incarnation)},
       configuration_({}, time),
       target_(time, {}, own.announcement_interval * missed_announcements_until_gone),
@@ -131,8 +132,8 @@
       configuration_follower_(
           {io.get_executor(), time, counters_, store, random_, adapter.configuration_topic,
            [this] {
-               return configuration_.is_ready() ? configuration_poll_timeout
-                                                : first_configuration_poll_timeout;
+               const bool starts = time_.now() - started_ < start_duration;
+               return starts || !configuration_.is_ready() ? start_poll_timeout : configuration_poll_timeout;
            },
            [] { return duration{0}; },
            make_topic_peers(adapter.configuration_topic, configuration_end_validity)},
--- a/tests/process/service_pressure_test.cpp
+++ b/tests/process/service_pressure_test.cpp
@@ -67,4 +67,22 @@
     CHECK(dm::downstream_pressure(target.pressure, "route", target.now + std::chrono::seconds(5)) < 1);
 }
 
+// Guards against requests that are shed for calls which they do not make: while calls fail, the attribution
+// gives some of them to routes that run beside those that call.
+TEST_CASE("A route with few of the calls of a service does not count as calling it") {
+    loaded_target target;
+    target.run_second(20, 1);
+    for (int call = 0; call < 50; ++call) {
+        dm::record_call_pressure(target.pressure, "below", 4, target.now);
+    }
+    target.pressure.attribution.routes = {"route", "beside", "also"};
+    target.pressure.attribution.services["below"].rates = {40, 0.8, 2};
+    target.pressure.attribution.intervals = 30;
+    target.pressure.routes["beside"].run_time = 0.5;
+    target.pressure.routes["also"].run_time = 0.6;
+    CHECK(dm::downstream_pressure(target.pressure, "route", target.now) > 3);
+    CHECK(dm::downstream_pressure(target.pressure, "beside", target.now) == 0);
+    CHECK(dm::downstream_pressure(target.pressure, "also", target.now) > 3);
+}
+
 TEST_SUITE_END();
