Count a pressure of a route only where most answers report it

Change: the shared decision takes the mean of the ratios above 1 where they are most of the answers of about the last second, otherwise none. The totals of the retry budget use one history in place of two kinds of sums.

Result: the test at 14, 90 and 195 nodes now has a share of answers without a ratio and a route beside of which 0.2 of the answers report one.

--- a/src/dandelionmount/process/fleet_admission.cpp
+++ b/src/dandelionmount/process/fleet_admission.cpp
@@ -14,7 +14,8 @@
     for (const auto& [route, ratios] : seen.ratios) {
         auto* received = written->add_ratios();
         received->set_route(route);
-        received->set_sum(static_cast<float>(ratios.sum));
+        received->set_above(static_cast<float>(ratios.above));
+        received->set_sum_above(static_cast<float>(ratios.sum_above));
         received->set_answers(static_cast<float>(ratios.answers));
     }
 }
@@ -28,7 +29,7 @@
         received.arrivals[{arrivals.priority(), arrivals.route()}] += arrivals.count();
     }
     for (const auto& ratios : report.ingress().ratios()) {
-        received.ratios[ratios.route()] = {ratios.sum(), ratios.answers()};
+        received.ratios[ratios.route()] = {ratios.above(), ratios.sum_above(), ratios.answers()};
     }
     add_report(fleet_, received, time_.now());
     grants.set_decides_admission(true);
--- a/src/dandelionmount/process/retry_allocation.cpp
+++ b/src/dandelionmount/process/retry_allocation.cpp
@@ -159,8 +159,8 @@
         quota.tokens -= 1;
     } else {
         const double own_slack = limit.slack / static_cast<double>(std::max<std::size_t>(1, limit.hosts));
-        const double allowed = granted_part * (limit.share * quota.requests.total(now) + own_slack);
-        if (quota.repeats.total(now) + 1 > allowed) {
+        const double allowed = granted_part * (limit.share * quota.requests.window_total(now) + own_slack);
+        if (quota.repeats.window_total(now) + 1 > allowed) {
             return false;
         }
     }
@@ -180,7 +180,7 @@
     const double wanted = quota.failure_rate * to_seconds(token_horizon) + (urgent ? 1 : 0) - held;
     retry_usage usage;
     usage.all = {quota.all_requests, quota.all_repeats + held};
-    usage.in_window = {quota.requests.total(now), quota.repeats.total(now) + held};
+    usage.in_window = {quota.requests.window_total(now), quota.repeats.window_total(now) + held};
     usage.wanted = static_cast<std::uint32_t>(std::max(wanted, 0.0));
     usage.demand_rate = quota.demand_rate;
     usage.attempt_rate = quota.attempt_rate;
--- a/src/dandelionmount/process/retry_allocation.h
+++ b/src/dandelionmount/process/retry_allocation.h
@@ -2,7 +2,6 @@
 #define DANDELIONMOUNT_PROCESS_RETRY_ALLOCATION_H
 
 #include "dandelionmount/process/clock.h"
-#include "dandelionmount/process/sliding_sum.h"
 #include "dandelionmount/process/window_history.h"
 
 #include <cstddef>
@@ -40,9 +39,9 @@
     explicit host_retry_quota(duration window) : requests(window), repeats(window) {}
 
     /// First attempts.
-    sliding_sum requests;
+    window_history requests;
     /// Repeated attempts: retries made here, and calls that targets made while they ran a request again.
-    sliding_sum repeats;
+    window_history repeats;
     /// Totals of both since the process started.
     double all_requests{0};
     double all_repeats{0};
--- a/src/dandelionmount/process/window_history.cpp
+++ b/src/dandelionmount/process/window_history.cpp
@@ -32,6 +32,11 @@
     }
 }
 
+double window_history::window_total(steady_time now) {
+    advance(now);
+    return sum(0, bins_per_window + 1);
+}
+
 double window_history::sum(std::size_t newest, std::size_t end) const {
     double sum = 0;
     for (std::size_t age = newest; age < std::min(end, bin_count); ++age) {
--- a/src/dandelionmount/process/window_history.h
+++ b/src/dandelionmount/process/window_history.h
@@ -21,6 +21,8 @@
     void add_evenly(double amount, steady_time now);
     /// Removes the bins that are too old at that time.
     void advance(steady_time now);
+    /// Sum over the window that ends at that time, and at most one bin more.
+    [[nodiscard]] double window_total(steady_time now);
     /// Sum over the bins that are at least `newest` and less than `end` bins old; the bin of age 0 is
     /// incomplete.
     [[nodiscard]] double sum(std::size_t newest, std::size_t end) const;
--- a/src/dandelionmount/request/priority_shedder.cpp
+++ b/src/dandelionmount/request/priority_shedder.cpp
@@ -1,6 +1,7 @@
 #include "dandelionmount/request/priority_shedder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,9 @@
 constexpr duration sampling_window = std::chrono::milliseconds(100);
 // Time constant of the EWMA of the rates.
 constexpr duration rate_averaging_time = std::chrono::milliseconds(500);
+// Time constant of the decay of the ratios that the fleet received: a route that is shed gets few answers a
+// second.
+constexpr duration ratio_averaging_time = std::chrono::milliseconds(800);
 // Share admitted in any overload, so that its end is detected.
 constexpr double probe_share = 0.02;
 // Shares for the fleet are received several times a second.
@@ -60,13 +64,23 @@
     assign_admitted_shares(shedder, now);
 }
 
+// Mean of the ratios above 1 where most answers have one, otherwise 0. Each host estimates for itself which
+// services a route leads to, so some answers report a pressure that does not concern the route, and some lack
+// one that does.
+double agreed_ratio(const ratio_sum& ratios) {
+    return ratios.above > ratios.answers / 2 ? ratios.sum_above / ratios.above : 0;
+}
+
 } // namespace
 
 void record_pressure(priority_shedder& shedder, std::string_view route, double ratio, steady_time now) {
     record_ratio(shedder.ratios, class_of_route(route), ratio, now);
     ratio_sum& reported = shedder.report.ratios[std::string(route)];
-    reported.sum += ratio;
     reported.answers += 1;
+    if (ratio > 1) {
+        reported.above += 1;
+        reported.sum_above += ratio;
+    }
 }
 
 double record_arrival_at_ingress(priority_shedder& shedder, std::string_view route, std::uint32_t priority,
@@ -95,16 +109,20 @@
     }
     for (const auto& [route, received] : report.ratios) {
         ratio_sum& ratios = fleet.report.ratios[route];
-        ratios.sum += received.sum;
+        ratios.above += received.above;
+        ratios.sum_above += received.sum_above;
         ratios.answers += received.answers;
     }
     if (now - fleet.window_began < sampling_window) {
         return;
     }
-    // One mean for a window, so that the ratio does not follow the answers that came last.
-    const ingress_report window = take_report(fleet);
-    for (const auto& [route, ratios] : window.ratios) {
-        record_ratio(fleet.ratios, class_of_route(route), ratios.sum / ratios.answers, now);
+    const double kept = std::exp(-to_seconds(now - fleet.window_began) / to_seconds(ratio_averaging_time));
+    for (const auto& [route, ratios] : take_report(fleet).ratios) {
+        ratio_sum& recent = fleet.recent_ratios[route];
+        recent.above = recent.above * kept + ratios.above;
+        recent.sum_above = recent.sum_above * kept + ratios.sum_above;
+        recent.answers = recent.answers * kept + ratios.answers;
+        record_ratio(fleet.ratios, class_of_route(route), agreed_ratio(recent), now);
     }
     end_window(fleet, now);
 }
--- a/src/dandelionmount/request/priority_shedder.h
+++ b/src/dandelionmount/request/priority_shedder.h
@@ -34,7 +34,9 @@
 
 /// Demand ratios received with several answers.
 struct ratio_sum {
-    double sum{0};
+    /// Number of the answers with a ratio above 1, and sum of these ratios.
+    double above{0};
+    double sum_above{0};
     double answers{0};
 };
 
@@ -52,6 +54,9 @@
     steady_time window_began;
     /// What is to be reported, or was reported, in the current window.
     ingress_report report;
+    /// Of the fleet: ratios received with answers by route, of which earlier ones count less (exponential
+    /// decay).
+    std::map<std::string, ratio_sum, std::less<>> recent_ratios;
     /// Shares decided for the whole fleet, where they are below 1, and when they were requested.
     std::map<priority_route, double> fleet_shares;
     steady_time fleet_shares_as_of;
--- a/tests/request/priority_shedder_test.cpp
+++ b/tests/request/priority_shedder_test.cpp
@@ -75,7 +75,8 @@
 struct ingress_fleet {
     explicit ingress_fleet(std::size_t count) : nodes(count) {}
 
-    void arrive(const std::string& route, std::uint32_t priority, double rate, double ratio) {
+    // Answers report the ratio, but for a share of them, which report none.
+    void arrive(const std::string& route, std::uint32_t priority, double rate, double ratio, double without) {
         for (int left = std::poisson_distribution<int>(rate * 0.01)(random); left > 0; --left) {
             dm::priority_shedder& node = nodes[random() % nodes.size()];
             const double share = dm::record_arrival_at_ingress(node, route, priority, now);
@@ -83,7 +84,8 @@
             counts.first += 1;
             if (std::bernoulli_distribution(share)(random)) {
                 counts.second += 1;
-                dm::record_pressure(node, route, ratio, now);
+                const bool reports_none = std::bernoulli_distribution(without)(random);
+                dm::record_pressure(node, route, reports_none ? 0 : ratio, now);
             }
         }
     }
@@ -91,8 +93,9 @@
     void run(milliseconds time, double ratio) {
         for (auto left = time / milliseconds(10); left > 0; --left) {
             now += milliseconds(10);
-            arrive("/important/", 2, 170, ratio);
-            arrive("/ordinary/", 0, 450, ratio);
+            arrive("/important/", 2, 170, ratio, without_ratio);
+            arrive("/ordinary/", 0, 450, ratio, without_ratio);
+            arrive("/beside/", 0, 150, ratio, 0.8);
             ++step;
             for (std::size_t node = step % 25; node < nodes.size() && shares_decisions; node += 25) {
                 dm::add_report(fleet, dm::take_report(nodes[node]), now);
@@ -109,6 +112,7 @@
     std::vector<dm::priority_shedder> nodes;
     dm::priority_shedder fleet;
     bool shares_decisions{true};
+    double without_ratio{0};
     std::mt19937_64 random{1};
     std::map<std::string, std::pair<double, double>> arrivals;
     dm::steady_time now{start};
@@ -122,6 +126,7 @@
     for (const std::size_t size : {14, 90, 195}) {
         CAPTURE(size);
         ingress_fleet fleet(size);
+        fleet.without_ratio = 0.2;
         fleet.run(milliseconds(2000), 0.5);
         CHECK(fleet.admitted("/important/") == 1);
         CHECK(fleet.admitted("/ordinary/") == 1);
@@ -131,6 +136,8 @@
         fleet.run(milliseconds(5000), 5);
         CHECK(fleet.admitted("/important/") > 0.55);
         CHECK(fleet.admitted("/ordinary/") < 0.1);
+        // Some answers report a pressure of a service that the route does not lead to.
+        CHECK(fleet.admitted("/beside/") > 0.95);
         fleet.run(milliseconds(2000), 0);
         fleet.arrivals.clear();
         fleet.run(milliseconds(1000), 0);
