--- a/src/dandelionmount/process/fleet_limiter.cpp
+++ b/src/dandelionmount/process/fleet_limiter.cpp
@@ -16,8 +16,6 @@
 
 // Groups of accounts with a rate allocator each, so that no single host handles the reports for all accounts.
 constexpr std::size_t account_group_count = 3;
-// Group whose allocator decides for all ingress nodes which requests are shed.
-constexpr std::size_t admission_group = 0;
 constexpr duration report_timeout = std::chrono::milliseconds(200);
 // Time that a request without a token waits for one.
 constexpr duration urgent_report_timeout = std::chrono::milliseconds(60);
@@ -136,9 +134,6 @@
                                       : service == scope.urgent_service;
         },
         scope.urgent_service);
-    if (scope.is_regular() && scope.group == admission_group) {
-        context_.admission.write_report(report);
-    }
     for (auto& [account, quota] : quotas_) {
         const bool is_included =
             scope.is_regular() ? group_of(account) == scope.group : account == scope.urgent_account;
@@ -171,14 +166,12 @@
         choose_allocators();
     }
     const auto requested_at = context_.time.now_with_suspension();
-    const auto sent_at = context_.time.now();
     wire::rate_report report = make_report(scope);
     const std::string host = allocators_[group].host;
     if (host == context_.members.self.host()) {
         wire::rate_grants grants = allocate(report, host);
         context_.targets.write_outliers(grants);
         apply_grants(group, grants, requested_at);
-        context_.admission.read_shares(grants, sent_at);
         context_.targets.read_outliers(grants);
         co_return;
     }
@@ -196,7 +189,6 @@
     const auto reply = co_await link->call(frame, call_key(call), context_.time.now() + timeout);
     if (reply && reply->has_rate_grants()) {
         apply_grants(group, reply->rate_grants(), requested_at);
-        context_.admission.read_shares(reply->rate_grants(), sent_at);
         context_.topics.apply_topic_ends(reply->rate_grants(), host, requested_at);
         context_.targets.read_outliers(reply->rate_grants());
     }
@@ -231,7 +223,6 @@
     grants.set_valid_ms(to_milliseconds(token_validity));
     grants.set_in_touch_ms(to_milliseconds(reachability_validity));
     context_.retries.allocate(report, host, reachable_fraction, grants);
-    context_.admission.decide(report, grants);
     for (const auto& usage : report.accounts()) {
         const auto* settings = find_account(context_.configuration.current(), usage.account());
         if (settings == nullptr || settings->rate <= 0) {
--- a/src/dandelionmount/process/fleet_limiter.h
+++ b/src/dandelionmount/process/fleet_limiter.h
@@ -6,7 +6,6 @@
 #include "dandelionmount/connection/peer_handshake.h"
 #include "dandelionmount/process/account_limiter.h"
 #include "dandelionmount/process/configuration_store.h"
-#include "dandelionmount/process/fleet_admission.h"
 #include "dandelionmount/process/fleet_retry_limiter.h"
 #include "dandelionmount/process/membership.h"
 #include "dandelionmount/process/metrics.h"
@@ -37,8 +36,6 @@
     outlier_detector& targets;
     /// Exchanges the usage of retries in reports, and retry tokens in the answers.
     fleet_retry_limiter& retries;
-    /// Exchanges what ingress nodes saw in reports, and what they admit in the answers.
-    fleet_admission& admission;
 };
 
 /// Account limiter for platforms with a record store.
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -32,9 +32,8 @@
 constexpr duration hosts_end_validity = std::chrono::milliseconds(7000);
 // Hosts whose known ends are too old all at once read the store spread over this time.
 constexpr duration store_read_spread = std::chrono::seconds(1);
-// A host that starts needs no proofs of freshness for others yet, and only waits for records.
-constexpr duration start_poll_timeout = std::chrono::milliseconds(2500);
-constexpr duration start_duration = std::chrono::seconds(4);
+// A host without any configuration has nothing that could be outdated, and only waits for the first one.
+constexpr duration first_configuration_poll_timeout = std::chrono::seconds(3);
 // Subtracted from the time within which a withdrawn key must stop working, for clocks that run at different
 // speeds.
 constexpr duration freshness_margin = std::chrono::milliseconds(500);
@@ -100,7 +99,7 @@
 
 store_node::store_node(asio::io_context& io, const store_settings& own, const platform_adapter& adapter,
                        record_store& store, const time_source& time)
-    : io_(io), settings_(own), adapter_(adapter), time_(time), started_(time.now()), random_(random_number()),
+    : io_(io), settings_(own), adapter_(adapter), time_(time), random_(random_number()),
       identity_{own.host, random_number(), {}}, members_{make_own_record(own, identity_.incarnation)},
       configuration_({}, time),
       target_(time, {}, own.announcement_interval * missed_announcements_until_gone),
@@ -119,21 +118,20 @@
            [this](std::string service) { return limiter_.report_retries(std::move(service)); }}),
       dispatcher_(make_dispatcher_context(time, counters_, configuration_, members_, peers_, executor_,
                                           random_, retry_limiter_, pressure_)),
-      admission_(time, dispatcher_.ingress_shedder()), topics_(time, peers_),
-      outlier_detector_(time, settings_.host, target_,
-                        [this](const std::string& host, const target_health& health) {
-                            dispatcher_.record_worker_comparison(host, health);
-                        }),
+      topics_(time, peers_), outlier_detector_(time, settings_.host, target_,
+                                               [this](const std::string& host, const target_health& health) {
+                                                   dispatcher_.record_worker_comparison(host, health);
+                                               }),
       limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_,
-                outlier_detector_, retry_limiter_, admission_}),
+                outlier_detector_, retry_limiter_}),
       registry_({io.get_executor(), time, counters_, store, random_, members_, adapter.hosts_topic,
                  [this] { handle_registry_change(); },
                  make_topic_peers(adapter.hosts_topic, hosts_end_validity)}),
       configuration_follower_(
           {io.get_executor(), time, counters_, store, random_, adapter.configuration_topic,
            [this] {
-               const bool starts = time_.now() - started_ < start_duration;
-               return starts || !configuration_.is_ready() ? start_poll_timeout : configuration_poll_timeout;
+               return configuration_.is_ready() ? configuration_poll_timeout
+                                                : first_configuration_poll_timeout;
            },
            [] { return duration{0}; },
            make_topic_peers(adapter.configuration_topic, configuration_end_validity)},
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -63,7 +63,6 @@
     store_settings settings_;
     platform_adapter adapter_;
     const time_source& time_;
-    steady_time started_;
     std::mt19937_64 random_;
     metrics counters_;
     peer_identity identity_;
@@ -76,7 +75,6 @@
     executor executor_;
     fleet_retry_limiter retry_limiter_;
     dispatcher dispatcher_;
-    fleet_admission admission_;
     topic_sharing topics_;
     outlier_detector outlier_detector_;
     fleet_limiter limiter_;
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -76,8 +76,6 @@
     boost::asio::awaitable<wire::forward_reply> dispatch(dispatch_order order);
     /// Records the result of comparing a worker with others of its service.
     void record_worker_comparison(const std::string& host, const target_health& health);
-    /// Decides which requests this ingress node sheds.
-    [[nodiscard]] priority_shedder& ingress_shedder() { return shedder_; }
     /// Records whether a worker's host can be reached.
     void record_reachability(const std::string& host, bool reachable) {
         workers_[host].host_reachable = reachable;
