Compute the sums of a grant once, and skip routes without calls

Each grant added up to 80 bins anew for each of 41 windows; it now takes running sums. Whether a route calls a service visited all routes for each reply; the routes are visited only for one that does make calls. The labels of the store calls stood twice. The interface of the retry limiter lies beside that of the account limiter, so that process/ does not include request/ for it. Processor time was not measured.

--- a/src/dandelionmount/process/fleet_retry_limiter.h
+++ b/src/dandelionmount/process/fleet_retry_limiter.h
@@ -4,7 +4,7 @@
 #include "dandelionmount/process/membership.h"
 #include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/retry_allocation.h"
-#include "dandelionmount/request/retry_limiter.h"
+#include "dandelionmount/process/retry_limiter.h"
 #include "dandelionmount/wire/peer.pb.h"
 
 #include <functional>
--- a/src/dandelionmount/process/retry_allocation.cpp
+++ b/src/dandelionmount/process/retry_allocation.cpp
@@ -81,11 +81,13 @@
 // Requests that the repeats of the window that starts `ago` bins before the newest one are compared with:
 // those of this window, of the one half a window before or of the one before, whichever are most. So the
 // budget outlasts the moment at which a failing service lowers the traffic that it is a share of.
-double counted_requests(const window_history& requests, std::size_t ago) {
-    constexpr std::size_t half = window_history::bins_per_window / 2;
-    const double same = requests.sum(0, ago + 1);
-    const double overlapping = requests.sum(ago >= half ? ago - half + 1 : 0, ago + half + 1);
-    const double before = requests.sum(ago + 1, ago + 1 + window_history::bins_per_window);
+double counted_requests(const window_history::sums& requests, std::size_t ago) {
+    constexpr std::size_t window = window_history::bins_per_window;
+    constexpr std::size_t half = window / 2;
+    const std::size_t before_end = std::min(ago + 1 + window, requests.size() - 1);
+    const double same = requests.at(ago + 1);
+    const double overlapping = requests.at(ago + half + 1) - requests.at(ago >= half ? ago - half + 1 : 0);
+    const double before = requests.at(before_end) - requests.at(ago + 1);
     return std::max({same, overlapping, before});
 }
 
@@ -94,17 +96,20 @@
                          steady_time now) {
     pool.requests.advance(now);
     pool.repeats.advance(now);
+    const auto requests = pool.requests.newest_sums();
+    const auto repeats = pool.repeats.newest_sums();
     double least = std::numeric_limits<double>::infinity();
     for (std::size_t ago = 0; ago <= window_history::bins_per_window; ++ago) {
-        const double allowed = granted_part * (limit.share * counted_requests(pool.requests, ago) + slack);
-        least = std::min(least, allowed - pool.repeats.sum(0, ago + 1));
+        const double allowed = granted_part * (limit.share * counted_requests(requests, ago) + slack);
+        least = std::min(least, allowed - repeats.at(ago + 1));
     }
     return least;
 }
 
 // Repeats allowed in the window that ends now.
 double budget_of_window(const service_retry_pool& pool, const fleet_retry_limit& limit, double slack) {
-    const double requests = counted_requests(pool.requests, window_history::bins_per_window - 1);
+    const double requests =
+        counted_requests(pool.requests.newest_sums(), window_history::bins_per_window - 1);
     return granted_part * (limit.share * requests + slack);
 }
 
--- a/src/dandelionmount/process/service_pressure.cpp
+++ b/src/dandelionmount/process/service_pressure.cpp
@@ -42,12 +42,13 @@
 // Whether requests of the route call the service.
 bool leads_to(const service_pressure& pressure, std::string_view route, const route_load& load,
               std::string_view service) {
-    double most = 0;
-    for (const auto& [other, other_load] : pressure.routes) {
-        most = std::max(most, calls_per_request(pressure, other, other_load, service));
-    }
     const double calls = calls_per_request(pressure, route, load, service);
-    return calls >= min_calls && calls >= min_relative_calls * most;
+    // Answered for each reply, so the other routes are visited only where the answer depends on them.
+    return calls >= min_calls &&
+           std::none_of(pressure.routes.begin(), pressure.routes.end(), [&](const auto& other) {
+               return calls <
+                      min_relative_calls * calls_per_request(pressure, other.first, other.second, service);
+           });
 }
 
 // Concurrent requests that the target can take, estimated from its limit and its queue.
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -319,16 +319,13 @@
 
 // Totals since the process started, by cause.
 void store_node::log_store_calls() const {
-    const auto total = [this](store_call cause) { return std::to_string(counters_.store_calls(cause)); };
+    const auto total = [this](store_call cause) {
+        return log_field{store_call_label(cause), std::to_string(counters_.store_calls(cause))};
+    };
     log_event(log_level::info, "store calls",
-              {{"snapshot", total(store_call::snapshot)},
-               {"poll", total(store_call::poll)},
-               {"stale_end", total(store_call::stale_end)},
-               {"catch_up", total(store_call::catch_up)},
-               {"own_record", total(store_call::own_record)},
-               {"secret", total(store_call::secret)},
-               {"removal", total(store_call::removal)},
-               {"leave", total(store_call::leave)}});
+              {total(store_call::snapshot), total(store_call::poll), total(store_call::stale_end),
+               total(store_call::catch_up), total(store_call::own_record), total(store_call::secret),
+               total(store_call::removal), total(store_call::leave)});
 }
 
 // A process that gets too little CPU time is late with everything, its messages to other hosts included.
--- a/src/dandelionmount/process/window_history.cpp
+++ b/src/dandelionmount/process/window_history.cpp
@@ -34,15 +34,15 @@
 
 double window_history::window_total(steady_time now) {
     advance(now);
-    return sum(0, bins_per_window + 1);
+    return newest_sums().at(bins_per_window + 1);
 }
 
-double window_history::sum(std::size_t newest, std::size_t end) const {
-    double sum = 0;
-    for (std::size_t age = newest; age < std::min(end, bin_count); ++age) {
-        sum += bins_.at(position(age));
+window_history::sums window_history::newest_sums() const {
+    sums result{};
+    for (std::size_t age = 0; age < bin_count; ++age) {
+        result.at(age + 1) = result.at(age) + bins_.at(position(age));
     }
-    return sum;
+    return result;
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/process/window_history.h
+++ b/src/dandelionmount/process/window_history.h
@@ -23,9 +23,9 @@
     void advance(steady_time now);
     /// Sum over the window that ends at that time, and at most one bin more.
     [[nodiscard]] double window_total(steady_time now);
-    /// Sum over the bins that are at least `newest` and less than `end` bins old; the bin of age 0 is
-    /// incomplete.
-    [[nodiscard]] double sum(std::size_t newest, std::size_t end) const;
+    /// Element n is the sum over the n newest bins, of which the first is incomplete.
+    using sums = std::array<double, 2 * bins_per_window + 2>;
+    [[nodiscard]] sums newest_sums() const;
 
 private:
     static constexpr std::size_t bin_count = 2 * bins_per_window + 1;
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -10,7 +10,7 @@
 #include "dandelionmount/request/demand_ratio_table.h"
 #include "dandelionmount/request/executor.h"
 #include "dandelionmount/request/retry_allowance.h"
-#include "dandelionmount/request/retry_limiter.h"
+#include "dandelionmount/process/retry_limiter.h"
 #include "dandelionmount/request/worker_choice.h"
 
 #include <map>
--- a/src/dandelionmount/request/local_retry_limiter.h
+++ b/src/dandelionmount/request/local_retry_limiter.h
@@ -3,7 +3,7 @@
 
 #include "dandelionmount/process/configuration_store.h"
 #include "dandelionmount/request/retry_allowance.h"
-#include "dandelionmount/request/retry_limiter.h"
+#include "dandelionmount/process/retry_limiter.h"
 
 #include <map>
 #include <string>
