Run a cancellation's action at once when it is added after the cancellation

Cause: an action added to a cancelled token never ran, so each caller of on_cancel had to check the token itself; target_server::call linked a target's call to its parent without that check, and the call ran on for nobody. A second cancellation ran all actions again.

Change: an action added late runs at once; only the first cancellation has an effect.

--- a/src/dandelionmount/connection/async_event.h
+++ b/src/dandelionmount/connection/async_event.h
@@ -64,18 +64,24 @@
 /// Cancellation signal for the work on one request.
 class cancel_token {
 public:
-    /// Cancels the work: runs the actions added so far.
+    /// Cancels the work: runs the actions added so far. Only the first call has an effect.
     void request() {
         requested_ = true;
-        const auto actions = actions_;
+        const auto actions = std::exchange(actions_, {});
         for (const auto& action : actions) {
             action();
         }
     }
     [[nodiscard]] bool requested() const { return requested_; }
-    /// Adds an action to run on a later cancellation; an earlier one does not run it. It must be safe to call
-    /// at any later time: after the work has ended, and more than once.
-    void on_cancel(std::function<void()> action) { actions_.push_back(std::move(action)); }
+    /// Adds an action to run on cancellation; it runs at once if the work is already cancelled. It must be
+    /// safe to call at any later time, also after the work has ended.
+    void on_cancel(std::function<void()> action) {
+        if (requested_) {
+            action();
+        } else {
+            actions_.push_back(std::move(action));
+        }
+    }
 
 private:
     bool requested_{false};
