Watch for a caller's departure until its request is done

Seen by callers: nothing; their requests ran on after they had left.

Cause: the watch for a departure waited for one event. Bytes of a next request, an event without input, or a half-close with a later reset ended it, and the request then ran to its end.

Change: bytes of next requests are read ahead, up to 16 KB, as an end of stream shows only behind them; an event without input is waited out; a caller that has half-closed is watched for a reset until the response.

--- a/src/dandelionmount/connection/http_server.cpp
+++ b/src/dandelionmount/connection/http_server.cpp
@@ -26,6 +26,10 @@
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr duration accept_retry_delay = std::chrono::milliseconds(10);
 constexpr duration write_timeout = std::chrono::seconds(10);
+// Bytes of further requests that are read while one is processed: a usual request with its headers.
+constexpr std::size_t max_read_ahead_bytes = 16UL * 1024;
+// Interval at which the connection of a caller that has half-closed is checked for a reset.
+constexpr duration reset_poll_interval = std::chrono::milliseconds(20);
 // How long a refused caller may keep sending before its connection is closed.
 constexpr duration refusal_drain_timeout = std::chrono::milliseconds(300);
 // Connections above the limit that get a refusal; any more are closed without a response.
@@ -44,8 +48,8 @@
     return parse_error && !ended ? reason::bad_request : reason::none;
 }
 
-// What is pending on the socket, without consuming it: bytes or nothing, the end of the stream, or an error.
-enum class peek_outcome { bytes, end, broken };
+// What is pending on the socket, without consuming it.
+enum class peek_outcome { nothing, bytes, end, broken };
 
 peek_outcome peek(tcp::socket& socket) {
     char byte = 0;
@@ -56,7 +60,15 @@
     if (count == 0) {
         return peek_outcome::end;
     }
-    return errno == EAGAIN || errno == EWOULDBLOCK ? peek_outcome::bytes : peek_outcome::broken;
+    return errno == EAGAIN || errno == EWOULDBLOCK ? peek_outcome::nothing : peek_outcome::broken;
+}
+
+// Whether the connection was reset, as by a write to a caller that has closed it.
+bool has_socket_error(tcp::socket& socket) {
+    int socket_error = 0;
+    socklen_t size = sizeof socket_error;
+    ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &socket_error, &size);
+    return socket_error != 0;
 }
 
 } // namespace
@@ -310,36 +322,62 @@
     }
 }
 
-// Detects a caller that disconnects while its request is processed. An end of stream alone is no proof, since
-// a caller may half-close and still read: an interim response, legal at any time, is then sent, and a caller
-// that is really gone resets the connection.
+// Moves bytes of the caller's next requests to the connection's buffer, as an end of stream shows only once
+// the bytes before it are read. Returns false when the buffer is full.
+bool http_server::read_ahead(connection& conn) {
+    const std::size_t room = max_read_ahead_bytes - std::min(max_read_ahead_bytes, conn.buffer.size());
+    if (room == 0) {
+        return false;
+    }
+    boost::system::error_code error;
+    conn.buffer.commit(conn.stream.socket().read_some(conn.buffer.prepare(room), error));
+    return true;
+}
+
+// Detects a caller that disconnects while its request is processed.
 asio::awaitable<void> http_server::watch_for_disconnect(connection_pointer conn,
                                                         std::shared_ptr<cancel_token> cancel,
                                                         std::shared_ptr<bool> done) {
     tcp::socket& socket = conn->stream.socket();
-    auto [wait_error] = co_await socket.async_wait(tcp::socket::wait_read, as_result);
-    if (*done || wait_error) {
-        co_return;
+    while (true) {
+        auto [wait_error] = co_await socket.async_wait(tcp::socket::wait_read, as_result);
+        if (*done || wait_error) {
+            co_return;
+        }
+        const peek_outcome peeked = peek(socket);
+        const bool gone = peeked == peek_outcome::end && protocol_.half_close_means_gone;
+        if (peeked == peek_outcome::broken || gone) {
+            conn->disconnect_cause = gone ? "end_of_stream" : "reset";
+            cancel->request();
+            co_return;
+        }
+        if (peeked == peek_outcome::end) {
+            co_await watch_half_closed(conn, cancel, done);
+            co_return;
+        }
+        if (peeked == peek_outcome::bytes && !read_ahead(*conn)) {
+            co_return;
+        }
     }
-    const peek_outcome peeked = peek(socket);
-    const bool gone = peeked == peek_outcome::end && protocol_.half_close_means_gone;
-    if (peeked == peek_outcome::broken || gone) {
-        conn->disconnect_cause = gone ? "end_of_stream" : "reset";
-        cancel->request();
-    } else if (peeked == peek_outcome::end) {
-        constexpr duration reset_wait = std::chrono::milliseconds(20);
-        boost::system::error_code ignored;
-        socket.write_some(asio::buffer(continue_line.data(), continue_line.size()), ignored);
-        co_await sleep_for(executor_, reset_wait);
+}
+
+// A caller may half-close and still read, so an end of stream alone is no proof that it is gone. An interim
+// response, legal at any time, makes a caller that is gone reset the connection.
+asio::awaitable<void> http_server::watch_half_closed(connection_pointer conn,
+                                                     std::shared_ptr<cancel_token> cancel,
+                                                     std::shared_ptr<bool> done) {
+    tcp::socket& socket = conn->stream.socket();
+    boost::system::error_code ignored;
+    socket.write_some(asio::buffer(continue_line.data(), continue_line.size()), ignored);
+    while (true) {
+        co_await sleep_for(executor_, reset_poll_interval);
         if (*done) {
             co_return;
         }
-        int socket_error = 0;
-        socklen_t size = sizeof socket_error;
-        ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &socket_error, &size);
-        if (socket_error != 0) {
+        if (has_socket_error(socket)) {
             conn->disconnect_cause = "reset";
             cancel->request();
+            co_return;
         }
     }
 }
--- a/src/dandelionmount/connection/http_server.h
+++ b/src/dandelionmount/connection/http_server.h
@@ -80,6 +80,10 @@
     boost::asio::awaitable<void> watch_for_disconnect(connection_pointer conn,
                                                       std::shared_ptr<cancel_token> cancel,
                                                       std::shared_ptr<bool> done);
+    boost::asio::awaitable<void> watch_half_closed(connection_pointer conn,
+                                                   std::shared_ptr<cancel_token> cancel,
+                                                   std::shared_ptr<bool> done);
+    [[nodiscard]] static bool read_ahead(connection& conn);
 
     boost::asio::any_io_executor executor_;
     caller_limits limits_;
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -30,7 +30,7 @@
 
 // A server that responds with the path after a short delay, and a raw client.
 struct server_fixture {
-    server_fixture() {
+    explicit server_fixture(dm::http_protocol used = {}) : protocol(std::move(used)) {
         const auto opened = server.listen(address);
         REQUIRE(opened);
     }
@@ -71,24 +71,38 @@
         return received;
     }
 
+    // Runs until a request was cancelled, at most for the time.
+    void run_until_cancelled(dm::duration limit) {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        while (cancelled == 0 && std::chrono::steady_clock::now() < until) {
+            io.run_for(milliseconds(5));
+        }
+    }
+
     asio::io_context io{1};
+    dm::http_protocol protocol;
     dm::metrics counters;
+    int requests{0};
     int cancelled{0};
+    // How long the handler takes.
+    dm::duration run_time{milliseconds(60)};
     // Padding of the response body, in bytes.
     std::size_t padding_bytes{0};
     bool throws{false};
     dm::http_server server{io.get_executor(), small_limits(), counters,
                            [this](dm::http_request request, std::shared_ptr<dm::cancel_token> cancel)
                                -> asio::awaitable<dm::http_response> {
+                               ++requests;
                                cancel->on_cancel([this] { ++cancelled; });
-                               co_await dm::sleep_for(io.get_executor(), milliseconds(60));
+                               co_await dm::sleep_for(io.get_executor(), run_time);
                                if (throws) {
                                    throw std::runtime_error("handler failure");
                                }
                                co_return dm::make_text_response(200, "text/plain",
                                                                 "[" + std::string(request.target()) + "]" +
                                                                     std::string(padding_bytes, 'x'));
-                           }};
+                           },
+                           protocol};
 };
 
 std::size_t count_of(const std::string& text, const std::string& part) {
@@ -137,6 +151,59 @@
     CHECK(fixture.counters.total(dm::event::requests_unanswered) == 1);
 }
 
+// Guards against a watch for the caller's departure that ends with the first bytes of its next request: the
+// request then ran on for nobody.
+TEST_CASE("The request of a caller that sends more and then disconnects is cancelled") {
+    for (const bool half_close_means_gone : {true, false}) {
+        CAPTURE(half_close_means_gone);
+        dm::http_protocol protocol;
+        protocol.half_close_means_gone = half_close_means_gone;
+        server_fixture fixture(protocol);
+        fixture.run_time = std::chrono::seconds(1);
+        {
+            auto socket = fixture.connect();
+            asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")));
+            fixture.io.run_for(milliseconds(20));
+            asio::write(socket, asio::buffer(std::string("GET /2 HTTP/1.1\r\nHo")));
+            fixture.io.run_for(milliseconds(20));
+        }
+        fixture.run_until_cancelled(milliseconds(500));
+        CHECK(fixture.cancelled == 1);
+        fixture.io.run_for(std::chrono::milliseconds(1100));
+    }
+}
+
+TEST_CASE("A request that arrives in pieces while another is processed is answered after it") {
+    server_fixture fixture;
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")));
+    fixture.io.run_for(milliseconds(20));
+    asio::write(socket, asio::buffer(std::string("GET /2 HTTP/1.1\r\nHo")));
+    fixture.io.run_for(milliseconds(20));
+    const std::string response = fixture.exchange(socket, "st: x\r\nConnection: close\r\n\r\n", false);
+    CHECK(response.find("[/1]") < response.find("[/2]"));
+    CHECK(response.find("[/2]") != std::string::npos);
+    CHECK(fixture.cancelled == 0);
+}
+
+// Guards against a caller that shuts down its sending side, reads on, and leaves before the response.
+TEST_CASE("The request of a caller that half-closes and leaves later is cancelled") {
+    server_fixture fixture;
+    fixture.run_time = std::chrono::seconds(1);
+    {
+        auto socket = fixture.connect();
+        asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")));
+        socket.shutdown(tcp::socket::shutdown_send);
+        fixture.io.run_for(milliseconds(100));
+        REQUIRE(fixture.cancelled == 0);
+        // A zero linger time makes the close reset the connection.
+        socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    fixture.run_until_cancelled(milliseconds(500));
+    CHECK(fixture.cancelled == 1);
+    fixture.io.run_for(std::chrono::milliseconds(1100));
+}
+
 TEST_CASE("Large headers, large bodies, bad requests and slow callers are refused and counted") {
     const auto refuse = [](const std::string& text, const std::string& status, dm::reason why) {
         server_fixture fixture;
