End the run of an idempotent request with the connection that brought it

Seen by callers: nothing; targets were at work for requests whose sender had given them up.

Cause: on a platform with a store the sender of an idempotent request sends it to another host as soon as its connection is lost, and never asks for the first attempt again. The host that ran it kept it going to its deadline.

Change: the end of a connection cancels the idempotent attempts that came over it, where senders do not settle them. Others run on, as their sender may still ask for their outcome.

Result: a test that fails without the change and passes with it.

--- a/src/dandelionmount/connection/peer_server.cpp
+++ b/src/dandelionmount/connection/peer_server.cpp
@@ -22,9 +22,9 @@
 } // namespace
 
 peer_server::peer_server(asio::any_io_executor executor, const peer_identity& self, metrics& counters,
-                         peer_frame_handler handler)
+                         peer_frame_handler handler, stream_end_handler on_end)
     : executor_(std::move(executor)), self_(self), counters_(counters), handler_(std::move(handler)),
-      acceptor_(executor_) {}
+      on_end_(std::move(on_end)), acceptor_(executor_) {}
 
 result<void> peer_server::listen(std::string_view address) {
     auto opened = open_acceptor(acceptor_, address);
@@ -94,6 +94,9 @@
     }
     stream->close();
     streams_.erase(stream);
+    if (on_end_) {
+        on_end_(stream);
+    }
 }
 
 } // namespace dandelionmount
--- a/src/dandelionmount/connection/peer_server.h
+++ b/src/dandelionmount/connection/peer_server.h
@@ -16,11 +16,14 @@
 using peer_frame_handler =
     std::function<void(const wire::peer_frame&, const peer_id&, std::shared_ptr<frame_stream>)>;
 
+/// Called when a connection from another host has ended.
+using stream_end_handler = std::function<void(const std::shared_ptr<frame_stream>&)>;
+
 /// Accepts connections from other hosts and passes their frames to a handler.
 class peer_server {
 public:
     peer_server(boost::asio::any_io_executor executor, const peer_identity& self, metrics& counters,
-                peer_frame_handler handler);
+                peer_frame_handler handler, stream_end_handler on_end = {});
 
     /// Opens the port; fails with the system's error message.
     result<void> listen(std::string_view address);
@@ -37,6 +40,7 @@
     const peer_identity& self_;
     metrics& counters_;
     peer_frame_handler handler_;
+    stream_end_handler on_end_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::set<std::shared_ptr<frame_stream>> streams_;
     std::size_t unauthenticated_{0};
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -61,6 +61,8 @@
 constexpr std::size_t max_response_bytes = 16UL * 1024 * 1024;
 // Bytes of all responses being received: three tenths of that memory.
 constexpr std::size_t max_received_bytes = 48UL * 1024 * 1024;
+// An idempotent request whose connection is lost is sent to another host at once, and not settled.
+constexpr bool settling_skips_idempotent = true;
 constexpr unsigned ok = 200;
 constexpr unsigned bad_request = 400;
 constexpr unsigned not_found = 404;
@@ -103,7 +105,7 @@
       identity_{own.host, random_number(), {}}, members_{make_own_record(own, identity_.incarnation)},
       configuration_({}, time),
       target_(time, {}, own.announcement_interval * missed_announcements_until_gone),
-      peers_({io.get_executor(), identity_, time, counters_, true, true,
+      peers_({io.get_executor(), identity_, time, counters_, true, settling_skips_idempotent,
               [this](const std::string& host, bool reachable) {
                   dispatcher_.record_reachability(host, reachable);
               }},
@@ -111,7 +113,7 @@
       connections_(io.get_executor(), time, max_response_bytes,
                    std::make_shared<byte_budget>(byte_budget{max_received_bytes}), adapter.protocol),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
-                 ip_of(own.target_address), &pressure_}),
+                 ip_of(own.target_address), &pressure_, !settling_skips_idempotent}),
       retry_limiter_(
           time, members_, {own.retry_share, static_cast<double>(own.retry_slack), own.retry_window},
           {[this](std::string_view service) { return limiter_.is_retry_allocator_reachable(service); },
@@ -141,7 +143,8 @@
           io.get_executor(), identity_, counters_,
           [this](const wire::peer_frame& frame, const peer_id& from, std::shared_ptr<frame_stream> stream) {
               handle_frame(frame, from, std::move(stream));
-          }),
+          },
+          [this](const std::shared_ptr<frame_stream>& stream) { executor_.handle_stream_end(stream); }),
       caller_server_({time, counters_, configuration_, limiter_, nullptr, dispatcher_, random_, own.service,
                       adapter.protocol},
                      io.get_executor(), caller_limits{}),
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <vector>
 
 namespace dandelionmount {
 
@@ -333,10 +334,35 @@
 
 void executor::cancel(const wire::cancel_request& cancel) {
     const auto found = executions_.find(forward_key(cancel.id(), cancel.attempt()));
-    if (found == executions_.end() || found->second->current_phase == execution::phase::finished) {
+    if (found != executions_.end()) {
+        const execution_pointer attempt = found->second;
+        cancel_attempt(attempt);
+    }
+}
+
+void executor::handle_stream_end(const std::shared_ptr<frame_stream>& stream) {
+    if (context_.idempotent_requests_are_settled) {
+        return;
+    }
+    std::vector<execution_pointer> abandoned;
+    for (const auto& [id, attempt] : active_) {
+        if (attempt->request.idempotent() && attempt->stream.lock() == stream) {
+            abandoned.push_back(attempt);
+        }
+    }
+    for (const auto& attempt : abandoned) {
+        cancel_attempt(attempt);
+    }
+    if (!abandoned.empty()) {
+        log_event(log_level::info, "runs cancelled with their connection",
+                  {{"runs", std::to_string(abandoned.size())}});
+    }
+}
+
+void executor::cancel_attempt(const execution_pointer& attempt) {
+    if (attempt->current_phase == execution::phase::finished) {
         return;
     }
-    const execution_pointer attempt = found->second;
     if (attempt->current_phase == execution::phase::waiting) {
         attempt->cancel->request();
         if (remove_request(context_.target.limiter().queue, attempt->ticket)) {
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -57,6 +57,9 @@
     /// Load of the target and of downstream services; nullptr where demand is reported by client account
     /// instead.
     service_pressure* pressure{nullptr};
+    /// Whether senders ask for the outcome of an idempotent request after a lost connection. Where they send
+    /// it to another host instead, its run ends with the connection that brought it.
+    bool idempotent_requests_are_settled{true};
 };
 
 /// Runs requests at this host's target: each attempt at most once, with an outcome that can be queried.
@@ -75,6 +78,8 @@
     boost::asio::awaitable<wire::forward_reply> run_local(wire::forward_request request, steady_time deadline,
                                                           std::shared_ptr<cancel_token> cancel);
     void cancel(const wire::cancel_request& cancel);
+    /// Cancels the attempts whose sender can't ask for them any more, as their connection has ended.
+    void handle_stream_end(const std::shared_ptr<frame_stream>& stream);
     /// Reports the outcome of an attempt; one that was not seen is refused from then on.
     void settle(const wire::settle_request& request, std::shared_ptr<frame_stream> stream);
     /// Drops a reply that the sender has received.
@@ -89,6 +94,7 @@
     void remove_expired();
 
 private:
+    void cancel_attempt(const execution_pointer& attempt);
     boost::asio::awaitable<wire::forward_reply> run_and_reply(execution_pointer attempt);
     boost::asio::awaitable<wire::forward_reply> run(execution_pointer attempt);
     boost::asio::awaitable<wire::forward_reply> wait_for_start(execution_pointer attempt, bool& started);
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace dm = dandelionmount;
@@ -33,16 +34,21 @@
 // One process of the receiving host. After a kill, the next one replaces it.
 struct host_process {
     host_process(asio::io_context& io, const dm::time_source& time, dm::configuration_store& configuration,
-                 std::uint64_t incarnation)
+                 std::uint64_t incarnation, bool idempotent_requests_are_settled)
         : identity{"receiver", incarnation, "secret"}, target(time),
           connections(io.get_executor(), time, 100000,
                       std::make_shared<dm::byte_budget>(dm::byte_budget{1000000})),
           executor({io.get_executor(), time, counters, configuration, target, connections,
-                    asio::ip::make_address("127.0.0.1")}),
+                    asio::ip::make_address("127.0.0.1"), nullptr, idempotent_requests_are_settled}),
           server(
               io.get_executor(), identity, counters,
               [this](const wire::peer_frame& frame, const dm::peer_id&,
-                     std::shared_ptr<dm::frame_stream> stream) { handle_frame(frame, std::move(stream)); }) {
+                     std::shared_ptr<dm::frame_stream> stream) { handle_frame(frame, std::move(stream)); },
+              [this](const std::shared_ptr<dm::frame_stream>& stream) {
+                  if (ends_runs_with_connection) {
+                      executor.handle_stream_end(stream);
+                  }
+              }) {
         target.announce({"store", target_port, 3, 10, wire::target_ready});
         REQUIRE(server.listen(host_address));
     }
@@ -66,6 +72,8 @@
         executor.drain();
     }
 
+    /// Off to show what the sender does alone.
+    bool ends_runs_with_connection{true};
     dm::metrics counters;
     dm::peer_identity identity;
     dm::local_target target;
@@ -76,11 +84,13 @@
 
 // A sender, a relay that breaks connections, and a receiving host with a target that counts runs.
 struct link_fixture {
-    link_fixture(std::uint64_t seed, bool settles) : random(seed) {
+    link_fixture(std::uint64_t seed, bool settles, bool settles_idempotent = true)
+        : idempotent_requests_are_settled(settles_idempotent), random(seed) {
         REQUIRE(target_server.listen(target_address));
         start_process();
         middle = std::make_unique<tests::relay>(io.get_executor(), host_address);
-        const dm::peer_link_context context{io.get_executor(), sender, time, counters, settles};
+        const dm::peer_link_context context{io.get_executor(), sender,  time,
+                                            counters,          settles, !settles_idempotent};
         link = std::make_shared<dm::peer_link>(context, "receiver", middle->listen());
     }
 
@@ -99,11 +109,15 @@
             processes.back()->kill();
         }
         processes.push_back(std::make_unique<host_process>(io, time, configuration,
-                                                           static_cast<std::uint64_t>(processes.size() + 1)));
+                                                           static_cast<std::uint64_t>(processes.size() + 1),
+                                                           idempotent_requests_are_settled));
     }
 
-    asio::awaitable<dm::http_response> run_at_target(dm::http_request request) {
-        ++runs[std::string(request["Dandelion-Request"])];
+    asio::awaitable<dm::http_response> run_at_target(dm::http_request request,
+                                                     std::shared_ptr<dm::cancel_token> cancel) {
+        const std::string id(request["Dandelion-Request"]);
+        ++runs[id];
+        cancel->on_cancel([this, id] { broken_off.insert(id); });
         co_await dm::sleep_for(io.get_executor(), min_run_time + milliseconds(random() % 20));
         co_return dm::make_text_response(200, "text/plain", std::string(request["Dandelion-Request"]));
     }
@@ -158,22 +172,59 @@
         }
     }
 
+    // Starts a request that its caller can cancel.
+    void start_cancellable(std::string id, bool idempotent, std::shared_ptr<dm::cancel_token> cancel) {
+        asio::co_spawn(
+            io,
+            [this, id = std::move(id), idempotent, cancel]() -> asio::awaitable<void> {
+                wire::forward_request request;
+                request.set_id(id);
+                request.set_attempt(1);
+                request.set_open(true);
+                request.set_service("store");
+                request.set_method("GET");
+                request.set_path("/x");
+                request.set_idempotent(idempotent);
+                request.set_remaining_ms(5000);
+                const auto reply =
+                    co_await link->forward(request, time.now() + std::chrono::seconds(5), cancel);
+                outcomes[id] = reply.outcome();
+            },
+            asio::detached);
+    }
+
+    // Runs until the target notices that the request was cancelled, at most for the time; returns whether it
+    // did.
+    bool run_until_broken_off(const std::string& id, dm::duration limit) {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        while (!broken_off.contains(id) && std::chrono::steady_clock::now() < until) {
+            link->keep_connected();
+            io.run_for(milliseconds(5));
+        }
+        return broken_off.contains(id);
+    }
+
+    bool idempotent_requests_are_settled;
     asio::io_context io{1};
     std::mt19937_64 random;
     dm::system_time_source time;
     dm::metrics counters;
     dm::configuration_store configuration{{}, time};
     dm::peer_identity sender{"sender", 1, "secret"};
-    dm::http_server target_server{
-        io.get_executor(), {}, counters, [this](dm::http_request request, std::shared_ptr<dm::cancel_token>) {
-            return run_at_target(std::move(request));
-        }};
+    dm::http_server target_server{io.get_executor(),
+                                  {},
+                                  counters,
+                                  [this](dm::http_request request, std::shared_ptr<dm::cancel_token> cancel) {
+                                      return run_at_target(std::move(request), std::move(cancel));
+                                  }};
     std::vector<std::unique_ptr<host_process>> processes;
     std::unique_ptr<tests::relay> middle;
     std::shared_ptr<dm::peer_link> link;
     /// Minimum duration of each run.
     dm::duration min_run_time{0};
     std::map<std::string, int> runs;
+    /// Requests whose connection to the target was closed while they ran.
+    std::set<std::string> broken_off;
     std::map<std::string, wire::forward_outcome> outcomes;
     /// Requests whose outcome is unknown because a connection was lost.
     int lost_outcomes{0};
@@ -351,6 +402,21 @@
     }
 }
 
+// Guards against targets at work for the callers of a host that was killed or can't connect again.
+TEST_CASE("A run of an idempotent request ends with the connection that brought it where senders send it "
+          "elsewhere") {
+    for (const bool idempotent : {true, false}) {
+        CAPTURE(idempotent);
+        link_fixture fixture(1, true, false);
+        fixture.min_run_time = std::chrono::seconds(3);
+        fixture.start_cancellable("orphan", idempotent, std::make_shared<dm::cancel_token>());
+        fixture.io.run_for(milliseconds(100));
+        REQUIRE(fixture.runs["orphan"] == 1);
+        fixture.link->stop();
+        CHECK(fixture.run_until_broken_off("orphan", milliseconds(500)) == idempotent);
+    }
+}
+
 // Guards against replies that are lost when the record store reports that their host has left: callers got
 // 502 for requests that had run.
 TEST_CASE("A request running on a host that is removed from the member list still gets its reply") {
