Send a cancellation again once a lost connection is back

Seen by callers: nothing; targets were at work for callers that had left.

Cause: a cancellation was written only to an open connection. One that was lost with its connection, or came while it was being opened again, was forgotten. An idempotent attempt that was given up with its connection was not cancelled at all.

Change: the sender cancels again after it has settled the attempt, and an attempt that it gave up as soon as the connection is open again, until the attempt's deadline.

Result: two tests that fail without the change and pass with it.

--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -163,6 +163,7 @@
     if (!opened) {
         co_return;
     }
+    send_delayed_cancels();
     close_if_retired();
     reconnect_backoff_ = duration{0};
     auto stream = stream_;
@@ -356,14 +357,15 @@
             link->send_cancel(cancelled);
         }
     });
-    auto reply = co_await await_reply(request, deadline);
+    auto reply = co_await await_reply(request, deadline, cancel);
     pending_.erase(forward_key(request.id(), request.attempt()));
     close_if_retired();
     co_return reply;
 }
 
 asio::awaitable<wire::forward_reply> peer_link::await_reply(const wire::forward_request& request,
-                                                            steady_time deadline) {
+                                                            steady_time deadline,
+                                                            std::shared_ptr<cancel_token> cancel) {
     const std::uint64_t incarnation = peer_incarnation_;
     const std::string key = forward_key(request.id(), request.attempt());
     auto pending = add_pending(key);
@@ -381,6 +383,8 @@
             co_return last;
         }
         if (!context_.settles || (context_.skips_settling_if_idempotent && request.idempotent())) {
+            // The request may be sent to another host; this attempt has nobody who waits for it.
+            cancel_when_connected(request, deadline);
             co_return make_reply(request, wire::unknown, reason::peer_lost);
         }
         // Registered before settling, as the reply to the request may directly follow the settle reply.
@@ -392,6 +396,10 @@
             context_.counters.count(event::settle_proved);
             co_return make_reply(request, wire::not_run, reason::peer_lost);
         }
+        // A cancellation that was sent before may have been lost with the connection.
+        if (cancel->requested()) {
+            send_or_delay_cancel(request, deadline);
+        }
         if (settled == settle_outcome::unknown) {
             const bool deadline_passed = context_.time.now() >= deadline;
             co_return make_reply(request, wire::unknown,
@@ -460,6 +468,37 @@
     }
 }
 
+void peer_link::send_or_delay_cancel(const wire::forward_request& request, steady_time deadline) {
+    if (stream_) {
+        send_cancel(request);
+    } else {
+        cancel_when_connected(request, deadline);
+    }
+}
+
+void peer_link::cancel_when_connected(const wire::forward_request& request, steady_time deadline) {
+    const auto now = context_.time.now();
+    std::erase_if(delayed_cancels_, [now](const delayed_cancel& entry) { return entry.deadline <= now; });
+    delayed_cancel entry;
+    entry.message.set_id(request.id());
+    entry.message.set_attempt(request.attempt());
+    entry.deadline = deadline;
+    delayed_cancels_.push_back(std::move(entry));
+}
+
+void peer_link::send_delayed_cancels() {
+    const auto now = context_.time.now();
+    for (const auto& entry : delayed_cancels_) {
+        if (entry.deadline > now) {
+            context_.counters.count(event::cancels);
+            wire::peer_frame frame;
+            *frame.mutable_cancel_request() = entry.message;
+            stream_->send(frame);
+        }
+    }
+    delayed_cancels_.clear();
+}
+
 void peer_link::send_ack(const wire::forward_reply& reply) {
     if (stream_) {
         wire::peer_frame frame;
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dandelionmount {
 
@@ -38,7 +39,8 @@
 
     /// Sends a request and waits for its outcome until the deadline. If the connection is lost, settles the
     /// outcome on a new one where the context allows. Returns `unknown` when the outcome is not settled,
-    /// can't be learned, or is not learned in time.
+    /// can't be learned, or is not learned in time. Cancels the attempt at the other host, also after a lost
+    /// connection, when the token is cancelled or the outcome is not waited for.
     boost::asio::awaitable<wire::forward_reply> forward(wire::forward_request request, steady_time deadline,
                                                         std::shared_ptr<cancel_token> cancel);
     /// Sends a frame and waits for the reply with `reply_key`; nullopt when none arrives in time.
@@ -84,8 +86,12 @@
     boost::asio::awaitable<settle_outcome> settle(const wire::forward_request& request,
                                                   std::uint64_t incarnation, steady_time deadline);
     boost::asio::awaitable<wire::forward_reply> await_reply(const wire::forward_request& request,
-                                                            steady_time deadline);
+                                                            steady_time deadline,
+                                                            std::shared_ptr<cancel_token> cancel);
     void send_cancel(const wire::forward_request& request);
+    void send_or_delay_cancel(const wire::forward_request& request, steady_time deadline);
+    void cancel_when_connected(const wire::forward_request& request, steady_time deadline);
+    void send_delayed_cancels();
     void send_ack(const wire::forward_reply& reply);
 
     peer_link_context context_;
@@ -107,6 +113,13 @@
     bool stopped_{false};
     async_event connect_done_;
     std::map<std::string, pending_pointer> pending_;
+    /// An attempt to cancel as soon as the connection is open again.
+    struct delayed_cancel {
+        wire::cancel_request message;
+        /// Deadline of the attempt, after which there is nothing to cancel.
+        steady_time deadline;
+    };
+    std::vector<delayed_cancel> delayed_cancels_;
 };
 
 /// Correlation keys, by which replies are matched to pending requests.
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -402,6 +402,34 @@
     }
 }
 
+// Guards against targets at work for callers that have left: a cancellation was lost with the connection that
+// carried it, and never sent again.
+TEST_CASE("A request whose caller leaves while the connection is lost is cancelled once it is open again") {
+    link_fixture fixture(1, true);
+    fixture.min_run_time = std::chrono::seconds(3);
+    const auto cancel = std::make_shared<dm::cancel_token>();
+    fixture.start_cancellable("left", false, cancel);
+    fixture.io.run_for(milliseconds(100));
+    REQUIRE(fixture.runs["left"] == 1);
+    fixture.middle->cut_connections();
+    cancel->request();
+    CHECK(fixture.run_until_broken_off("left", milliseconds(500)));
+}
+
+// Guards against targets at work on an attempt that was given up: the request was sent to another host, and
+// its caller may have left since.
+TEST_CASE("An attempt that is given up with its connection is cancelled once the connection is open again") {
+    link_fixture fixture(1, true, false);
+    fixture.processes.back()->ends_runs_with_connection = false;
+    fixture.min_run_time = std::chrono::seconds(3);
+    fixture.start_cancellable("given-up", true, std::make_shared<dm::cancel_token>());
+    fixture.io.run_for(milliseconds(100));
+    REQUIRE(fixture.runs["given-up"] == 1);
+    fixture.middle->cut_connections();
+    CHECK(fixture.run_until_broken_off("given-up", milliseconds(500)));
+    CHECK(fixture.outcomes.at("given-up") == wire::unknown);
+}
+
 // Guards against targets at work for the callers of a host that was killed or can't connect again.
 TEST_CASE("A run of an idempotent request ends with the connection that brought it where senders send it "
           "elsewhere") {
