Keep to the request rate and the departure that a target names in its answers

Seen by callers: requests refused or slow at a target in need that had named a rate and got several times as much; requests sent to a target after it had said in its answers that it was leaving.

Cause: no answer's headers were read for either. The limiter of a target knew concurrent requests only, and the state of a target came from its announcements alone.

Change: the adapter names the two headers. The target's own host, through which all its requests pass, holds starts back by a token bucket of the named rate, in the order of the queue; the limit that it reports, its pressure and the expected wait follow the rate, so that callers' hosts choose other workers or shed before any work is done. Answers carry the rate to the other hosts, which send it along, so that a restarted host knows it before its target's first answer. A rate is lifted by the answer to a request sent after it was last named. A target that says that it leaves counts as draining until its process is replaced, whatever it announces; other hosts leave that incarnation out by themselves, also without the store.

--- a/src/dandelionmount/connection/http_protocol.h
+++ b/src/dandelionmount/connection/http_protocol.h
@@ -25,6 +25,10 @@
     std::string instance_header;
     /// On a target's response: the request was rejected and has not run.
     std::string not_run_header;
+    /// On a target's response: the requests per second that it takes from all hosts together.
+    std::string rate_limit_header;
+    /// On a target's response: the target is leaving and must get no more requests.
+    std::string leaving_header;
     /// Present on every response made by a target; a success without it counts as incomplete. Its value is
     /// not checked.
     std::string response_signature_header;
--- a/src/dandelionmount/connection/target_connection.cpp
+++ b/src/dandelionmount/connection/target_connection.cpp
@@ -3,6 +3,7 @@
 #include "dandelionmount/connection/response_receiver.h"
 #include "dandelionmount/connection/peer_link.h"
 #include "dandelionmount/connection/socket_options.h"
+#include "dandelionmount/process/logging.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/write.hpp>
@@ -136,6 +137,24 @@
     return reply;
 }
 
+target_signals target_connections::read_signals(const http_response& response) const {
+    target_signals signals;
+    signals.is_leaving =
+        has_header(response, protocol_.leaving_header) && response[protocol_.leaving_header] != "0";
+    if (has_header(response, protocol_.rate_limit_header)) {
+        const auto text = response[protocol_.rate_limit_header];
+        double value = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (parsed.ec == std::errc() && parsed.ptr == text.data() + text.size()) {
+            signals.rate_limit = value;
+        } else {
+            log_event(log_level::warning, "rate limit of the target is not a number",
+                      {{"value", std::string(text)}});
+        }
+    }
+    return signals;
+}
+
 target_connections::connection_pointer target_connections::take_idle() {
     while (!idle_.empty()) {
         connection_pointer conn = std::move(idle_.back());
@@ -223,6 +242,8 @@
     conn->stream.expires_at(deadline);
     auto outgoing = std::make_shared<outgoing_request>();
     outgoing->message = make_target_request(request, instance, deadline - time_.now());
+    outgoing->instance = instance;
+    outgoing->sent_at = time_.now();
     // Written concurrently with reading: a target may respond before it has read a long body, and continue
     // reading later.
     http::async_write(conn->stream, outgoing->message,
@@ -264,6 +285,12 @@
         }
         const bool usable = stray_responses <= max_stray_responses && belongs_to(response.message, request) &&
                             (!response.close_delimited || protocol_.accepts_close_delimited_responses);
+        if (usable && signal_action_) {
+            auto signals = read_signals(response.message);
+            signals.instance = outgoing->instance;
+            signals.sent_at = outgoing->sent_at;
+            signal_action_(signals);
+        }
         if (usable && response.keep_alive && outgoing->written) {
             keep_idle(conn, response.message);
         } else {
--- a/src/dandelionmount/connection/target_connection.h
+++ b/src/dandelionmount/connection/target_connection.h
@@ -11,7 +11,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,17 @@
     std::string instance;
 };
 
+/// What a target says of itself in a response.
+struct target_signals {
+    /// The target's process that responded.
+    std::string instance;
+    /// When the request was sent.
+    steady_time sent_at;
+    /// Requests per second that it takes from all hosts together; nullopt if it names no limit.
+    std::optional<double> rate_limit;
+    bool is_leaving{false};
+};
+
 /// Calls to the target of this host. Connections are kept open, and only idempotent requests reuse them.
 class target_connections {
 public:
@@ -41,6 +54,8 @@
                                                      const wire::forward_request& request,
                                                      steady_time deadline,
                                                      std::shared_ptr<cancel_token> cancel);
+    /// Sets the action to run with each complete response, before the response is returned.
+    void on_signals(std::function<void(const target_signals&)> action) { signal_action_ = std::move(action); }
     /// Closes idle connections that can't be reused: expired ones, and those with unread input or an end of
     /// stream.
     void close_unusable();
@@ -64,6 +79,9 @@
         http_request message;
         /// Whether it has been written completely.
         bool written{false};
+        /// The process that it is meant for, and when it was sent.
+        std::string instance;
+        steady_time sent_at;
     };
 
     [[nodiscard]] connection_pointer take_idle();
@@ -83,6 +101,7 @@
     [[nodiscard]] wire::forward_reply convert_response(const wire::forward_request& request,
                                                        http_response response) const;
     [[nodiscard]] bool belongs_to(const http_response& response, const wire::forward_request& request) const;
+    [[nodiscard]] target_signals read_signals(const http_response& response) const;
     void keep_idle(const connection_pointer& conn, const http_response& response);
 
     boost::asio::any_io_executor executor_;
@@ -91,6 +110,7 @@
     std::shared_ptr<byte_budget> memory_;
     http_protocol protocol_;
     std::vector<connection_pointer> idle_;
+    std::function<void(const target_signals&)> signal_action_;
 };
 
 } // namespace dandelionmount
--- a/src/dandelionmount/process/local_target.cpp
+++ b/src/dandelionmount/process/local_target.cpp
@@ -1,5 +1,8 @@
 #include "dandelionmount/process/local_target.h"
 
+#include "dandelionmount/process/logging.h"
+#include "dandelionmount/process/rendezvous.h"
+
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -42,7 +45,18 @@
 
 } // namespace
 
-void local_target::announce(const target_announcement& announcement) {
+std::uint64_t local_target::incarnation() const {
+    return rendezvous_weight(std::to_string(started()), announced_.instance);
+}
+
+void local_target::announce(const target_announcement& received) {
+    target_announcement announcement = received;
+    const bool said_leaving =
+        leaving_incarnation_ != 0 &&
+        leaving_incarnation_ == rendezvous_weight(std::to_string(started()), announcement.instance);
+    if (said_leaving && announcement.state != wire::target_none) {
+        announcement.state = wire::target_draining;
+    }
     last_announced_at_ = time_.now();
     const bool changed = announcement.service != announced_.service || announcement.port != announced_.port ||
                          announcement.slots != announced_.slots || announcement.state != announced_.state ||
@@ -86,6 +100,47 @@
     announce(heartbeat.announcement);
 }
 
+void local_target::handle_response(std::string_view instance, std::optional<double> rate_limit,
+                                   bool is_leaving, steady_time sent_at) {
+    if (instance != announced_.instance) {
+        return;
+    }
+    const auto before = limiter_.rate.per_second;
+    if (rate_limit) {
+        record_named_rate(limiter_.rate, *rate_limit, time_.now());
+    } else {
+        record_unnamed_rate(limiter_.rate, sent_at);
+    }
+    const auto& current = limiter_.rate.per_second;
+    if (before.has_value() != current.has_value()) {
+        log_event(log_level::info,
+                  current ? "target names a rate limit" : "target names no rate limit any more",
+                  {{"instance", announced_.instance},
+                   {"per_second", std::to_string(current ? *current : *before)}});
+    }
+    if (is_leaving) {
+        mark_leaving();
+    }
+}
+
+void local_target::adopt_rate_limit(double per_second) {
+    if (announced_.state != wire::target_none) {
+        adopt_rate(limiter_.rate, per_second, time_.now());
+    }
+}
+
+void local_target::mark_leaving() {
+    leaving_incarnation_ = incarnation();
+    if (announced_.state == wire::target_none || announced_.state == wire::target_draining) {
+        return;
+    }
+    log_event(log_level::info, "target is leaving", {{"instance", announced_.instance}});
+    announced_.state = wire::target_draining;
+    if (action_) {
+        action_();
+    }
+}
+
 void local_target::withdraw() {
     if (announced_.state == wire::target_none) {
         return;
@@ -110,7 +165,9 @@
     wire::load_report load;
     load.set_in_flight(limiter_.in_flight);
     load.set_queued(static_cast<std::uint32_t>(limiter_.queue.size()));
-    load.set_limit(static_cast<std::uint32_t>(std::floor(limiter_.limit)));
+    load.set_limit(static_cast<std::uint32_t>(std::floor(effective_limit(limiter_))));
+    load.set_rate_limit(limiter_.rate.per_second.value_or(0));
+    load.set_leaving_incarnation(leaving_incarnation_ == incarnation() ? leaving_incarnation_ : 0);
     return load;
 }
 
--- a/src/dandelionmount/process/local_target.h
+++ b/src/dandelionmount/process/local_target.h
@@ -55,6 +55,14 @@
     void announce(const target_announcement& announcement);
     /// Applies a heartbeat. Delayed ones, older than the latest applied, are ignored.
     void handle_heartbeat(const target_heartbeat& heartbeat);
+    /// Applies what the target said of itself in a response to a request sent at `sent_at`: the rate limit
+    /// that it names, if any, and whether it is leaving. Ignored from a process that was replaced since.
+    void handle_response(std::string_view instance, std::optional<double> rate_limit, bool is_leaving,
+                         steady_time sent_at);
+    /// Adopts the rate limit that another host has seen this target name.
+    void adopt_rate_limit(double per_second);
+    /// Marks the current process of the target as leaving. It stays so, whatever it announces later.
+    void mark_leaving();
     /// Removes the announcement, so that the target counts as gone.
     void withdraw();
     /// Withdraws the target if its last announcement has expired.
@@ -65,6 +73,8 @@
     [[nodiscard]] const target_announcement& announced() const { return announced_; }
     /// Start of the target's process as in its latest heartbeat; 0 before the first.
     [[nodiscard]] std::uint64_t started() const { return latest_order_.first; }
+    /// Identifies the current process of the target, also across restarts of this process.
+    [[nodiscard]] std::uint64_t incarnation() const;
     [[nodiscard]] bool is_ready_for(std::string_view service) const;
     [[nodiscard]] target_limiter& limiter() { return limiter_; }
     [[nodiscard]] const target_limiter& limiter() const { return limiter_; }
@@ -90,6 +100,8 @@
     /// Departed instance that was not the announced one, and when its departure arrived.
     std::string departed_instance_;
     steady_time departed_at_;
+    /// Incarnation of the process that said that it is leaving; 0 if none.
+    std::uint64_t leaving_incarnation_{0};
     target_announcement announced_;
     steady_time last_announced_at_;
     target_limiter limiter_;
--- a/src/dandelionmount/process/outlier_detector.cpp
+++ b/src/dandelionmount/process/outlier_detector.cpp
@@ -26,7 +26,7 @@
     measurements.service = target_.announced().service;
     measurements.routes = times_of_routes(target_.speed(), time_.now());
     measurements.load = (static_cast<double>(limiter.in_flight) + static_cast<double>(limiter.queue.size())) /
-                        std::max(1.0, limiter.limit);
+                        std::max(1.0, effective_limit(limiter));
     measurements.failing = target_.speed().failing;
     return measurements;
 }
--- a/src/dandelionmount/process/service_pressure.cpp
+++ b/src/dandelionmount/process/service_pressure.cpp
@@ -53,10 +53,12 @@
 
 // Concurrent requests that the target can take, estimated from its limit and its queue.
 double usable_limit(const target_limiter& limiter) {
+    const double limit = effective_limit(limiter);
     if (limiter.max_queued == 0) {
-        return limiter.limit * idle_headroom;
+        // A rate that the target names leaves no spare capacity to be found.
+        return limit * (limiter.rate.per_second ? 1 : idle_headroom);
     }
-    return limiter.limit * (busy_headroom - full_queue_reduction * queue_fill_ratio(limiter));
+    return limit * (busy_headroom - full_queue_reduction * queue_fill_ratio(limiter));
 }
 
 void end_attribution_interval(service_pressure& pressure, steady_time now) {
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -164,6 +164,9 @@
     topics_.add(registry_.follower());
     configuration_.require_freshness({own.key_withdrawal - freshness_margin});
     target_.on_change([this] { publish_target(); });
+    connections_.on_signals([this](const target_signals& signals) {
+        target_.handle_response(signals.instance, signals.rate_limit, signals.is_leaving, signals.sent_at);
+    });
 }
 
 // Every host reports to the rate allocators several times a second, so they read the store for all hosts. A
@@ -253,7 +256,7 @@
 void store_node::publish_target() {
     const auto& announced = target_.announced();
     auto& record = members_.self;
-    record.set_incarnation(rendezvous_weight(std::to_string(target_.started()), announced.instance));
+    record.set_incarnation(target_.incarnation());
     if (!announced.service.empty()) {
         record.set_service(announced.service);
     }
--- a/src/dandelionmount/process/target_limiter.cpp
+++ b/src/dandelionmount/process/target_limiter.cpp
@@ -30,12 +30,16 @@
 
 std::size_t queue_limit(const target_limiter& limiter, bool is_call) {
     const double factor = is_call ? call_queue_factor : queue_factor;
-    return std::max(min_queue_limit, static_cast<std::size_t>(limiter.limit * factor));
+    return std::max(min_queue_limit, static_cast<std::size_t>(effective_limit(limiter) * factor));
 }
 
 duration expected_wait(const target_limiter& limiter, std::size_t ahead) {
-    return std::chrono::duration_cast<duration>(
+    const auto by_limit = std::chrono::duration_cast<duration>(
         limiter.service_time * (static_cast<double>(ahead) / std::max(limiter.limit, min_limit)));
+    if (!limiter.rate.per_second) {
+        return by_limit;
+    }
+    return std::max(by_limit, from_seconds(static_cast<double>(ahead) / *limiter.rate.per_second));
 }
 
 arrival_decision refuse(reason why) {
@@ -70,13 +74,14 @@
     limiter.service_time = fresh.service_time;
     limiter.baseline_time = fresh.baseline_time;
     limiter.measured = false;
+    limiter.rate = fresh.rate;
 }
 
 arrival_decision decide_arrival(target_limiter& limiter, const queued_request& request, steady_time deadline,
                                 steady_time now) {
     record_demand(limiter.demands, request.priority, request.account, request.weight);
     record_arrival(limiter.queue, request);
-    if (is_below_limit(limiter) && limiter.queue.size() == 0) {
+    if (is_below_limit(limiter) && limiter.queue.size() == 0 && take_token(limiter.rate, now)) {
         ++limiter.in_flight;
         return {};
     }
@@ -98,8 +103,8 @@
     return decision;
 }
 
-std::optional<queued_request> start_next(target_limiter& limiter) {
-    if (!is_below_limit(limiter)) {
+std::optional<queued_request> start_next(target_limiter& limiter, steady_time now) {
+    if (!is_below_limit(limiter) || limiter.queue.size() == 0 || !take_token(limiter.rate, now)) {
         return std::nullopt;
     }
     auto request = pop_request(limiter.queue);
@@ -142,12 +147,29 @@
     --limiter.in_flight;
 }
 
+std::optional<duration> time_to_next_start(const target_limiter& limiter, steady_time now) {
+    if (!limiter.rate.per_second || limiter.queue.size() == 0 || !is_below_limit(limiter)) {
+        return std::nullopt;
+    }
+    return time_to_next_token(limiter.rate, now);
+}
+
+double effective_limit(const target_limiter& limiter) {
+    if (!limiter.rate.per_second || !limiter.measured) {
+        return limiter.limit;
+    }
+    // Little's law: requests in progress are the rate times the service time.
+    return std::clamp(*limiter.rate.per_second * to_seconds(limiter.service_time), min_limit,
+                      std::max(min_limit, limiter.limit));
+}
+
 double admissible_rate(const target_limiter& limiter) {
     if (!limiter.measured) {
-        return std::numeric_limits<double>::infinity();
+        return limiter.rate.per_second.value_or(std::numeric_limits<double>::infinity());
     }
     // Little's law: requests in progress are the rate times the service time.
-    const double capacity = limiter.limit / std::max(to_seconds(limiter.service_time), min_service_seconds);
+    const double capacity =
+        effective_limit(limiter) / std::max(to_seconds(limiter.service_time), min_service_seconds);
     if (limiter.max_queued == 0) {
         return capacity * idle_headroom;
     }
--- a/src/dandelionmount/process/target_limiter.h
+++ b/src/dandelionmount/process/target_limiter.h
@@ -5,6 +5,7 @@
 #include "dandelionmount/process/demand_shares.h"
 #include "dandelionmount/process/reason.h"
 #include "dandelionmount/process/target_queue.h"
+#include "dandelionmount/process/target_rate.h"
 
 #include <cstdint>
 #include <optional>
@@ -31,6 +32,8 @@
     demand_table demands;
     /// Highest number of queued requests in the current demand window.
     std::size_t max_queued{0};
+    /// Rate limit that the target names; starts are held back for it besides the limit.
+    target_rate rate;
 };
 
 /// Decision on an arriving request.
@@ -46,14 +49,18 @@
 [[nodiscard]] double queue_fill_ratio(const target_limiter& limiter);
 /// Sets the ceiling to the target's usable slots. If it changes, the limit is reset to it.
 void set_ceiling(target_limiter& limiter, std::uint32_t slots);
-/// Discards the measurements and resets the limit after the target's process was replaced. Calls in flight
-/// still count.
+/// Discards the measurements and the target's rate, and resets the limit after the target's process was
+/// replaced. Calls in flight still count.
 void reset_measurements(target_limiter& limiter);
 /// Admits, queues or refuses a request. A started one counts as in flight; a queued one is in the queue.
 [[nodiscard]] arrival_decision decide_arrival(target_limiter& limiter, const queued_request& request,
                                               steady_time deadline, steady_time now);
-/// Removes the next request from the queue if the limit allows; it counts as in flight.
-[[nodiscard]] std::optional<queued_request> start_next(target_limiter& limiter);
+/// Removes the next request from the queue if the limit and the target's rate allow; it counts as in flight.
+[[nodiscard]] std::optional<queued_request> start_next(target_limiter& limiter, steady_time now);
+/// When only the target's rate holds back a queued request, the time until it may start; otherwise nullopt.
+[[nodiscard]] std::optional<duration> time_to_next_start(const target_limiter& limiter, steady_time now);
+/// The limit, or where the target's rate binds first, the concurrent requests that correspond to the rate.
+[[nodiscard]] double effective_limit(const target_limiter& limiter);
 
 /// Result of a call at the target, for the limit.
 enum class call_end { answered, overloaded, failed };
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -183,7 +183,9 @@
     const std::uint32_t slice = context_.shares_allowance ? order.allowance->take_slice() : 0;
     request.set_allowance(slice);
     context_.counters.count(event::attempts);
-    ++workers_[host].in_flight;
+    worker_record& chosen = workers_[host];
+    ++chosen.in_flight;
+    request.set_target_rate_limit(chosen.load.rate_limit());
     wire::forward_reply reply;
     const bool is_self = host == context_.members.self.host();
     const auto link = is_self ? nullptr : context_.peers.find(host);
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -81,7 +81,7 @@
 
 } // namespace
 
-executor::executor(executor_context context) : context_(std::move(context)) {}
+executor::executor(executor_context context) : context_(std::move(context)), next_token_(context_.executor) {}
 
 void executor::accept(const wire::forward_request& request, std::shared_ptr<frame_stream> stream) {
     const std::string key = forward_key(request.id(), request.attempt());
@@ -181,6 +181,9 @@
     if (refused != reason::none) {
         co_return make_refusal(*attempt, refused);
     }
+    if (attempt->request.target_rate_limit() > 0) {
+        context_.target.adopt_rate_limit(attempt->request.target_rate_limit());
+    }
     bool started = false;
     auto reply = co_await wait_for_start(attempt, started);
     if (!started) {
@@ -236,6 +239,7 @@
     }
     if (decision.what == arrival_decision::action::queue) {
         waiting_[attempt->ticket] = attempt;
+        start_waiting_at_next_token(now);
         const bool changed = co_await attempt->changed.wait_until(request.start_by);
         waiting_.erase(attempt->ticket);
         if (!changed && remove_request(limiter.queue, attempt->ticket)) {
@@ -312,8 +316,9 @@
 void executor::start_waiting() {
     auto& limiter = context_.target.limiter();
     while (true) {
-        const auto next = start_next(limiter);
+        const auto next = start_next(limiter, context_.time.now());
         if (!next) {
+            start_waiting_at_next_token(context_.time.now());
             return;
         }
         const auto found = waiting_.find(next->ticket);
@@ -324,6 +329,24 @@
     }
 }
 
+// Without a rate limit, the end of a run starts the next one.
+void executor::start_waiting_at_next_token(steady_time now) {
+    const auto& limiter = context_.target.limiter();
+    const auto wait = time_to_next_start(limiter, now);
+    if (waits_for_token_ || !wait) {
+        return;
+    }
+    waits_for_token_ = true;
+    next_token_.expires_after(*wait);
+    // After an error this object may be gone.
+    next_token_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            waits_for_token_ = false;
+            start_waiting();
+        }
+    });
+}
+
 void executor::remove_waiting(std::uint64_t ticket, reason why) {
     const auto found = waiting_.find(ticket);
     if (found != waiting_.end()) {
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -11,6 +11,7 @@
 #include "dandelionmount/request/retry_allowance.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -102,6 +103,7 @@
     [[nodiscard]] reason check_request(const execution& attempt) const;
     [[nodiscard]] wire::forward_reply make_refusal(const execution& attempt, reason why) const;
     void start_waiting();
+    void start_waiting_at_next_token(steady_time now);
     void remove_waiting(std::uint64_t ticket, reason why);
     /// Completes and stores the reply; returns it as sent.
     wire::forward_reply finish(const execution_pointer& attempt, wire::forward_reply reply);
@@ -120,6 +122,9 @@
 
     executor_context context_;
     bool draining_{false};
+    /// Starts the next queued request when the target's rate limit allows it.
+    boost::asio::steady_timer next_token_;
+    bool waits_for_token_{false};
     std::uint64_t next_ticket_{1};
     /// Number of requests so far on routes with an open circuit breaker; selects those that run as probes.
     std::uint64_t open_circuit_requests_{0};
--- a/src/dandelionmount/request/worker_choice.cpp
+++ b/src/dandelionmount/request/worker_choice.cpp
@@ -78,8 +78,10 @@
     if (record.incarnation != member.incarnation()) {
         const bool first_seen = record.incarnation == 0;
         const bool reachable = record.host_reachable;
+        const auto left = record.left_incarnation;
         record = worker_record{};
         record.host_reachable = reachable;
+        record.left_incarnation = left;
         record.incarnation = member.incarnation();
         // A worker that this host sees for the first time may have been ready for long, and gets no slow
         // start.
@@ -110,6 +112,9 @@
         }
         worker_record& record = records[member.host()];
         reset_on_restart(record, member, context.now);
+        if (record.left_incarnation != 0 && record.left_incarnation == member.incarnation()) {
+            return;
+        }
         candidates.push_back(
             {&member, &record, load_share(member, record, context.now), current_cost(record, context.now)});
     };
@@ -208,6 +213,9 @@
 void record_load(worker_record& record, const wire::load_report& load, steady_time now) {
     record.load = load;
     record.load_received_at = now;
+    if (load.leaving_incarnation() != 0) {
+        record.left_incarnation = load.leaving_incarnation();
+    }
 }
 
 void record_comparison(worker_record& record, const target_health& health, steady_time now) {
--- a/src/dandelionmount/request/worker_choice.h
+++ b/src/dandelionmount/request/worker_choice.h
@@ -30,6 +30,9 @@
     /// over.
     steady_time ready_since;
     std::uint64_t incarnation{0};
+    /// Incarnation of the worker that has said that it is leaving; 0 if none. It gets no more requests,
+    /// whatever the list of hosts says.
+    std::uint64_t left_incarnation{0};
     /// Whether a connection to the worker's host can be established.
     bool host_reachable{true};
     std::uint32_t consecutive_failures{0};
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -374,4 +374,26 @@
     CHECK(fixture.connections == 2);
 }
 
+TEST_CASE("What a target says of itself is read from whole responses, with the process that said it") {
+    dm::http_protocol protocol;
+    protocol.rate_limit_header = "X-Rate";
+    protocol.leaving_header = "X-Leaving";
+    const auto read = [&protocol](const std::string& headers) {
+        target_fixture fixture("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + headers + "\r\nok", false,
+                               protocol);
+        std::vector<dm::target_signals> received;
+        fixture.connections_to_target.on_signals(
+            [&received](const dm::target_signals& signals) { received.push_back(signals); });
+        CHECK(fixture.call(true).outcome() == wire::ran);
+        REQUIRE(received.size() == 1);
+        return received.front();
+    };
+    CHECK(read("X-Rate: 28.25\r\n").rate_limit == 28.25);
+    CHECK_FALSE(read("X-Rate: 28.25\r\n").is_leaving);
+    CHECK(read("X-Leaving: 1\r\n").is_leaving);
+    CHECK_FALSE(read("X-Leaving: 1\r\n").rate_limit);
+    CHECK_FALSE(read("X-Rate: many\r\n").rate_limit);
+    CHECK_FALSE(read("X-Rate: 3 a second\r\n").rate_limit);
+}
+
 TEST_SUITE_END();
--- a/tests/process/local_target_test.cpp
+++ b/tests/process/local_target_test.cpp
@@ -62,6 +62,41 @@
     CHECK(target.is_ready_for("store"));
 }
 
+// Guards against a target that has said in an answer that it is leaving and gets requests again, as a later
+// or delayed announcement of the same process says that it is ready.
+TEST_CASE("A target that says in an answer that it is leaving stays out until its process is replaced") {
+    const dm::manual_time_source time;
+    dm::local_target target(time);
+    int changes = 0;
+    target.on_change([&] { ++changes; });
+    target.handle_heartbeat(announcement("one", 100, 1));
+    target.handle_response("one", std::nullopt, true, time.now());
+    CHECK_FALSE(target.is_ready_for("store"));
+    CHECK(changes == 2);
+    CHECK(target.load().leaving_incarnation() == target.incarnation());
+    target.handle_heartbeat(announcement("one", 100, 2));
+    CHECK_FALSE(target.is_ready_for("store"));
+    CHECK(target.announced().state == wire::target_draining);
+    target.handle_heartbeat(announcement("one", 300, 1));
+    CHECK(target.is_ready_for("store"));
+    target.handle_heartbeat(announcement("two", 400, 1));
+    CHECK(target.is_ready_for("store"));
+    CHECK(target.load().leaving_incarnation() == 0);
+}
+
+TEST_CASE("An answer of a process that was replaced says nothing about its successor") {
+    const dm::manual_time_source time;
+    dm::local_target target(time);
+    target.handle_heartbeat(announcement("one", 100, 1));
+    target.handle_response("one", 5, false, time.now());
+    CHECK(target.load().rate_limit() == 5);
+    target.handle_heartbeat(announcement("two", 200, 1));
+    CHECK(target.load().rate_limit() == 0);
+    target.handle_response("one", 5, true, time.now());
+    CHECK(target.is_ready_for("store"));
+    CHECK(target.load().rate_limit() == 0);
+}
+
 TEST_CASE("A target is withdrawn when its last announcement has expired") {
     dm::manual_time_source time;
     dm::local_target target(time, {}, seconds(6));
--- a/tests/process/target_limiter_test.cpp
+++ b/tests/process/target_limiter_test.cpp
@@ -32,9 +32,9 @@
     const auto decision =
         dm::decide_arrival(limiter, make_request(9), start + std::chrono::seconds(1), start);
     CHECK(decision.what == dm::arrival_decision::action::queue);
-    CHECK_FALSE(dm::start_next(limiter));
+    CHECK_FALSE(dm::start_next(limiter, start));
     dm::record_end(limiter, dm::call_end::answered, milliseconds(5), start);
-    CHECK(dm::start_next(limiter)->ticket == 9);
+    CHECK(dm::start_next(limiter, start)->ticket == 9);
 }
 
 TEST_CASE("A request that can't meet its deadline is refused on arrival") {
--- a/tests/request/worker_choice_test.cpp
+++ b/tests/request/worker_choice_test.cpp
@@ -54,6 +54,23 @@
     CHECK(fixture.choose().why == dm::reason::no_target);
 }
 
+// Guards against requests to a worker that has said that it is leaving, while the list of hosts, which may be
+// out of reach, still shows it as ready.
+TEST_CASE("A worker that has said that it is leaving gets no requests until it is replaced") {
+    choice_fixture fixture;
+    add_worker(fixture.members, "leaving", "a");
+    CHECK(fixture.choose().host == "leaving");
+    wire::load_report load;
+    load.set_leaving_incarnation(1);
+    dm::record_load(fixture.records["leaving"], load, start);
+    CHECK(fixture.choose().why == dm::reason::no_target);
+    // A later answer of the same process, or of its successor, does not name it any more.
+    dm::record_load(fixture.records["leaving"], wire::load_report{}, start);
+    CHECK(fixture.choose().why == dm::reason::no_target);
+    fixture.members.others["leaving"].set_incarnation(2);
+    CHECK(fixture.choose().host == "leaving");
+}
+
 TEST_CASE("The own zone is preferred until its workers are near their limit") {
     choice_fixture fixture;
     add_worker(fixture.members, "near", "a");
