Read the store anew when it comes back from an older copy

Seen by callers: a withdrawn key accepted by a host that started with the copy; hosts that do not appear again, or in an earlier state.

Cause: an offset was taken for the identity of a record, by followers of a topic and between hosts. After the store has lost what it acknowledged, offsets name other records or none. The end of a topic was taken for proof that the configuration is the latest.

Change: a position is an era and an offset; a later era, from the store or from another host, makes a topic be read anew, and an earlier one counts for nothing. Hosts write again their own record and the secret, and keep those that the copy lacks for six seconds. Reports and answers of rate allocators carry the version of the configuration; a host that lacks the latest takes it from another host. After a start or a new era, keys are valid only once the versions were compared.

The stand-in store takes copies and comes back from them, and the soak has an option for it.

--- a/src/dandelionmount/process/fleet_limiter.cpp
+++ b/src/dandelionmount/process/fleet_limiter.cpp
@@ -127,6 +127,7 @@
     const auto now = context_.time.now_with_suspension();
     wire::rate_report report;
     report.set_call(next_call_++);
+    report.set_configuration_version(context_.configuration.state().document_version);
     context_.retries.write_usages(
         report,
         [this, &scope](std::string_view service) {
@@ -188,6 +189,7 @@
     const duration timeout = scope.is_regular() ? report_timeout : urgent_report_timeout;
     const auto reply = co_await link->call(frame, call_key(call), context_.time.now() + timeout);
     if (reply && reply->has_rate_grants()) {
+        context_.on_configuration_version(host, reply->rate_grants().configuration_version());
         apply_grants(group, reply->rate_grants(), requested_at);
         context_.topics.apply_topic_ends(reply->rate_grants(), host, requested_at);
         context_.targets.read_outliers(reply->rate_grants());
@@ -241,7 +243,9 @@
 void fleet_limiter::answer(const wire::rate_report& report, const peer_id& from,
                            std::shared_ptr<frame_stream> stream) {
     wire::peer_frame frame;
+    context_.on_configuration_version(from.host, report.configuration_version());
     *frame.mutable_rate_grants() = allocate(report, from.host);
+    frame.mutable_rate_grants()->set_configuration_version(context_.configuration.state().document_version);
     context_.topics.write_topic_ends(*frame.mutable_rate_grants());
     if (report.has_target()) {
         context_.targets.read_measurements(report, from.host);
--- a/src/dandelionmount/process/fleet_limiter.h
+++ b/src/dandelionmount/process/fleet_limiter.h
@@ -14,6 +14,7 @@
 #include "dandelionmount/process/outlier_detector.h"
 #include "dandelionmount/process/topic_sharing.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,9 @@
     outlier_detector& targets;
     /// Exchanges the usage of retries in reports, and retry tokens in the answers.
     fleet_retry_limiter& retries;
+    /// Called with the version of the configuration document that another host has, with each of its reports
+    /// and answers.
+    std::function<void(const std::string& host, std::uint64_t version)> on_configuration_version;
 };
 
 /// Account limiter for platforms with a record store.
--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -40,6 +40,8 @@
 // Changes in quick succession are written once.
 constexpr duration write_delay = std::chrono::milliseconds(20);
 constexpr int max_leave_attempts = 2;
+// Time in which a living host notices that the store has lost its record and writes it again, with retries.
+constexpr duration missing_record_limit = std::chrono::seconds(6);
 
 std::string key_of_host(std::string_view host) {
     return std::string(host_prefix) + std::string(host);
@@ -74,22 +76,11 @@
 void fleet_registry::apply_records(std::span<const keyed_record> records, bool is_snapshot) {
     std::set<std::string, std::less<>> keys;
     for (const auto& record : records) {
-        apply_record(record);
+        apply_record(record, is_snapshot);
         keys.insert(record.key);
     }
     if (is_snapshot) {
-        std::vector<std::string> gone;
-        for (const auto& [host, member] : context_.members.others) {
-            if (!keys.contains(key_of_host(host))) {
-                gone.push_back(host);
-            }
-        }
-        for (const auto& host : gone) {
-            erase_record(context_.members, host);
-        }
-        if (!keys.contains(key_of_host(context_.members.self.host()))) {
-            stored_own_record_.clear();
-        }
+        apply_snapshot_gaps(keys);
     }
     if (secret_.empty() && !is_proposing_) {
         is_proposing_ = true;
@@ -99,8 +90,58 @@
     context_.on_change();
 }
 
-void fleet_registry::apply_record(const keyed_record& record) {
+// A snapshot lacks the hosts that have left. After the store came back from an older copy it also lacks those
+// that have joined since, which write their records again.
+void fleet_registry::apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys) {
+    const bool is_older_copy = snapshot_era_ != 0 && follower_.era() != snapshot_era_;
+    snapshot_era_ = follower_.era();
+    std::vector<std::string> gone;
+    for (const auto& [host, member] : context_.members.others) {
+        if (!keys.contains(key_of_host(host))) {
+            gone.push_back(host);
+        }
+    }
+    for (const auto& host : gone) {
+        if (is_older_copy) {
+            missing_since_.try_emplace(host, context_.time.now());
+        } else {
+            erase_record(context_.members, host);
+        }
+    }
+    if (!keys.contains(key_of_host(context_.members.self.host()))) {
+        stored_own_record_.clear();
+    }
+    const bool lacks_secret = !secret_.empty() && !keys.contains(secret_key);
+    secret_is_missing_ = lacks_secret;
+    // Every host knows the secret; the few that read the store for the others write it.
+    if (lacks_secret && !is_proposing_ && context_.peers.reads_store()) {
+        is_proposing_ = true;
+        asio::co_spawn(context_.executor, restore_secret(), asio::detached);
+    }
+    if (is_older_copy) {
+        log_event(log_level::info, "host records read from an older copy of the store",
+                  {{"era", std::to_string(snapshot_era_)},
+                   {"missing_hosts", std::to_string(gone.size())},
+                   {"own_record_missing", stored_own_record_.empty() ? "yes" : "no"},
+                   {"secret_missing", lacks_secret ? "yes" : "no"}});
+    }
+}
+
+void fleet_registry::remove_missing_hosts() {
+    const auto now = context_.time.now();
+    for (const auto& [host, since] : missing_since_) {
+        if (now - since >= missing_record_limit) {
+            log_event(log_level::info, "host record not written again", {{"host", host}});
+            erase_record(context_.members, host);
+        }
+    }
+    std::erase_if(missing_since_,
+                  [now](const auto& entry) { return now - entry.second >= missing_record_limit; });
+}
+
+void fleet_registry::apply_record(const keyed_record& record, bool is_snapshot) {
     if (record.key == secret_key) {
+        secret_is_missing_ = false;
         // The first secret is final: a later one would split the fleet.
         if (secret_.empty() && record.value) {
             secret_ = *record.value;
@@ -113,9 +154,10 @@
     }
     const std::string host = record.key.substr(host_prefix.size());
     if (host == context_.members.self.host()) {
-        apply_own_record(record.value.value_or(""));
+        apply_own_record(record.value.value_or(""), is_snapshot);
         return;
     }
+    missing_since_.erase(host);
     if (!record.value) {
         log_event(log_level::info, "host record removed", {{"host", host}});
         erase_record(context_.members, host);
@@ -138,9 +180,11 @@
 
 // The topic's history also has the earlier records of this process. Those that were replaced by an
 // acknowledged write need no attention, unless a write of the same record went unanswered and may have taken
-// effect late.
-void fleet_registry::apply_own_record(const std::string& text) {
-    const bool is_replaced = acknowledged_records_.contains(text) && !unanswered_records_.contains(text);
+// effect late. A snapshot has only the newest record, which may be an earlier one of this process again when
+// the store came back from an older copy.
+void fleet_registry::apply_own_record(const std::string& text, bool is_snapshot) {
+    const bool is_replaced =
+        !is_snapshot && acknowledged_records_.contains(text) && !unanswered_records_.contains(text);
     if (!is_replaced || text == write_host_record(context_.members.self)) {
         stored_own_record_ = text;
     }
@@ -164,7 +208,26 @@
     is_proposing_ = false;
 }
 
+// Until the secret is back, a host that starts could propose another one, which the others would not accept.
+asio::awaitable<void> fleet_registry::restore_secret() {
+    std::uniform_real_distribution<double> draw(0, to_seconds(secret_proposal_spread));
+    co_await sleep_for(context_.executor, from_seconds(draw(context_.random)));
+    while (secret_is_missing_ && !is_leaving_) {
+        context_.counters.count_store_call(store_call::secret);
+        keyed_record record{std::string(secret_key), secret_};
+        const auto appended = co_await context_.store.append(context_.topic, record, std::nullopt);
+        if (appended) {
+            break;
+        }
+        log_event(log_level::warning, "fleet secret could not be written again",
+                  {{"cause", appended.error().message}});
+        co_await sleep_for(context_.executor, secret_read_timeout);
+    }
+    is_proposing_ = false;
+}
+
 void fleet_registry::publish() {
+    remove_missing_hosts();
     const bool waits_for_target = context_.members.self.target() == wire::target_none &&
                                   context_.time.now() - started_ < target_wait_limit;
     if (!is_writing_ && !waits_for_target && !is_leaving_ && !secret_.empty() &&
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -6,6 +6,7 @@
 #include "dandelionmount/process/topic_follower.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -50,21 +51,30 @@
 
 private:
     void apply_records(std::span<const keyed_record> records, bool is_snapshot);
-    void apply_record(const keyed_record& record);
-    void apply_own_record(const std::string& text);
+    void apply_record(const keyed_record& record, bool is_snapshot);
+    void apply_own_record(const std::string& text, bool is_snapshot);
+    void apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys);
+    void remove_missing_hosts();
     [[nodiscard]] duration batch_delay() const;
     boost::asio::awaitable<void> propose_secret();
+    boost::asio::awaitable<void> restore_secret();
     boost::asio::awaitable<void> write_own_record();
 
     fleet_registry_context context_;
     steady_time started_;
     topic_follower follower_;
     std::string secret_;
+    /// Whether the store has lost the secret.
+    bool secret_is_missing_{false};
     /// This host's record as last acknowledged by the store or read from it.
     std::string stored_own_record_;
     /// Records written by this process: those that the store acknowledged, and those whose answer was lost.
     std::set<std::string> acknowledged_records_;
     std::set<std::string> unanswered_records_;
+    /// Era of the store that the last snapshot was read in.
+    std::uint64_t snapshot_era_{0};
+    /// Hosts whose records the store has lost, and since when; they write them again if they live.
+    std::map<std::string, steady_time, std::less<>> missing_since_;
     bool is_writing_{false};
     bool is_proposing_{false};
     bool is_leaving_{false};
--- a/src/dandelionmount/process/metrics.cpp
+++ b/src/dandelionmount/process/metrics.cpp
@@ -32,6 +32,7 @@
     "log_appends",
     "log_failures",
     "configuration_changes",
+    "store_era_changes",
     "members_declared_dead",
 };
 
--- a/src/dandelionmount/process/metrics.h
+++ b/src/dandelionmount/process/metrics.h
@@ -58,6 +58,7 @@
     log_appends,
     log_failures,
     configuration_changes,
+    store_era_changes,
     members_declared_dead,
     count_
 };
--- a/src/dandelionmount/process/record_store.h
+++ b/src/dandelionmount/process/record_store.h
@@ -22,11 +22,15 @@
 /// Consecutive records of a topic.
 struct topic_records {
     std::vector<keyed_record> records;
+    /// Era of the store. It rises each time the store comes back from an older copy, after which offsets are
+    /// given out again: an offset means something in its era only. 0 if the store names none.
+    std::uint64_t era{0};
     /// Offset from which to read on.
     std::uint64_t next{0};
     /// End of the topic; beyond `next` when one answer does not hold all records.
     std::uint64_t end{0};
-    /// The requested records are no longer kept: read the newest record of each key instead.
+    /// The requested records are no longer kept, or do not exist yet: read the newest record of each key
+    /// instead.
     bool trimmed{false};
 };
 
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -34,6 +34,10 @@
 constexpr duration store_read_spread = std::chrono::seconds(1);
 // A host without any configuration has nothing that could be outdated, and only waits for the first one.
 constexpr duration first_configuration_poll_timeout = std::chrono::seconds(3);
+// Time in which a host reads a configuration that others have read from the store.
+constexpr duration max_read_lag = std::chrono::milliseconds(500);
+// A host that reaches no other one for this long trusts the store alone.
+constexpr duration comparison_wait_limit = std::chrono::seconds(5);
 // Subtracted from the time within which a withdrawn key must stop working, for clocks that run at different
 // speeds.
 constexpr duration freshness_margin = std::chrono::milliseconds(500);
@@ -101,9 +105,9 @@
 
 store_node::store_node(asio::io_context& io, const store_settings& own, const platform_adapter& adapter,
                        record_store& store, const time_source& time)
-    : io_(io), settings_(own), adapter_(adapter), time_(time), random_(random_number()),
-      identity_{own.host, random_number(), {}}, members_{make_own_record(own, identity_.incarnation)},
-      configuration_({}, time),
+    : io_(io), settings_(own), adapter_(adapter), time_(time), started_at_(time.now_with_suspension()),
+      random_(random_number()), identity_{own.host, random_number(), {}},
+      members_{make_own_record(own, identity_.incarnation)}, configuration_({}, time),
       target_(time, {}, own.announcement_interval * missed_announcements_until_gone),
       peers_({io.get_executor(), identity_, time, counters_, true, settling_skips_idempotent,
               [this](const std::string& host, bool reachable) {
@@ -125,7 +129,10 @@
                                                    dispatcher_.record_worker_comparison(host, health);
                                                }),
       limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_,
-                outlier_detector_, retry_limiter_}),
+                outlier_detector_, retry_limiter_,
+                [this](const std::string& host, std::uint64_t version) {
+                    compare_configuration_version(host, version);
+                }}),
       registry_({io.get_executor(), time, counters_, store, random_, members_, adapter.hosts_topic,
                  [this] { handle_registry_change(); },
                  make_topic_peers(adapter.hosts_topic, hosts_end_validity)}),
@@ -138,7 +145,7 @@
            [] { return duration{0}; },
            make_topic_peers(adapter.configuration_topic, configuration_end_validity)},
           {[this](std::span<const keyed_record> records, bool) { apply_configuration(records); },
-           [this](steady_time as_of) { configuration_.record_freshness(as_of); }}),
+           [this](steady_time as_of) { record_freshness(as_of); }}),
       peer_server_(
           io.get_executor(), identity_, counters_,
           [this](const wire::peer_frame& frame, const peer_id& from, std::shared_ptr<frame_stream> stream) {
@@ -174,8 +181,8 @@
 topic_peers store_node::make_topic_peers(std::string topic, duration end_validity) {
     topic_peers peers;
     peers.reads_store = [this] { return registry_.secret().empty() || limiter_.is_rate_allocator(); };
-    peers.fetch = [this, topic = std::move(topic)](std::string host, std::uint64_t from) {
-        return topics_.fetch(topic, std::move(host), from);
+    peers.fetch = [this, topic = std::move(topic)](std::string host, std::uint64_t era, std::uint64_t from) {
+        return topics_.fetch(topic, std::move(host), era, from);
     };
     peers.end_validity = end_validity;
     peers.read_spread = store_read_spread;
@@ -228,10 +235,75 @@
               {{"version", std::to_string(version)}, {"routes", routes}});
     if (adopted) {
         counters_.count(event::configuration_changes);
+        topics_.set_newest(adapter_.configuration_topic, {adapter_.configuration_key, std::string(text)});
         caller_server_.server().set_limits(limits);
     }
 }
 
+// The store may have lost a configuration that hosts have acted on. The later version wins, so a host that
+// lacks it takes it from the others, unless it is about to read it anyway.
+void store_node::compare_configuration_version(const std::string& host, std::uint64_t version) {
+    const auto now = time_.now_with_suspension();
+    versions_compared_at_ = now;
+    if (version > latest_version_elsewhere_) {
+        latest_version_elsewhere_ = version;
+        outdated_since_ = now;
+    }
+    const bool holds_later = version > configuration_.state().document_version;
+    if (holds_later && !is_up_to_date_with_hosts() && !is_fetching_configuration_) {
+        is_fetching_configuration_ = true;
+        asio::co_spawn(io_, fetch_configuration(host), asio::detached);
+    }
+}
+
+// A host that has been up to date since it started, or since the store came back from an older copy, has some
+// time to read a later version. Before, it must not miss any version that another host has.
+bool store_node::is_up_to_date_with_hosts() const {
+    if (configuration_.state().document_version >= latest_version_elsewhere_) {
+        return true;
+    }
+    const bool was_up_to_date = fresh_recorded_at_ && *fresh_recorded_at_ >= trust_began_at();
+    return was_up_to_date && time_.now_with_suspension() - outdated_since_ <= max_read_lag;
+}
+
+steady_time store_node::trust_began_at() const {
+    return configuration_follower_.era_changed_at().value_or(started_at_);
+}
+
+asio::awaitable<void> store_node::fetch_configuration(std::string host) {
+    const auto found = co_await topics_.fetch_newest(adapter_.configuration_topic, host);
+    log_event(log_level::info, "later configuration requested from another host",
+              {{"host", host}, {"outcome", found ? "received" : found.error().message}});
+    if (found) {
+        apply_configuration(found.value().records);
+    }
+    is_fetching_configuration_ = false;
+}
+
+// After a start, or a return of the store from an older copy, the end of the topic is no proof by itself: the
+// store may lack a withdrawal that other hosts know of.
+bool store_node::has_compared_versions(steady_time since) const {
+    if (registry_.secret().empty()) {
+        return false;
+    }
+    if (members_.others.empty() || (versions_compared_at_ && *versions_compared_at_ >= since)) {
+        return true;
+    }
+    return !is_any_host_connected() && time_.now_with_suspension() - since > comparison_wait_limit;
+}
+
+bool store_node::is_any_host_connected() const {
+    return std::any_of(members_.others.begin(), members_.others.end(),
+                       [this](const auto& entry) { return peers_.is_connected(entry.first); });
+}
+
+void store_node::record_freshness(steady_time as_of) {
+    if (is_up_to_date_with_hosts() && has_compared_versions(trust_began_at())) {
+        fresh_recorded_at_ = time_.now_with_suspension();
+        configuration_.record_freshness(as_of);
+    }
+}
+
 void store_node::handle_registry_change() {
     if (!registry_.secret().empty() && !peer_server_open_ && !stopping_) {
         identity_.secret = registry_.secret();
@@ -248,7 +320,8 @@
 }
 
 bool store_node::is_ready() const {
-    return configuration_.is_ready() && peer_server_open_ && !stopping_;
+    const bool was_fresh = configuration_.age() != duration::max();
+    return configuration_.is_ready() && was_fresh && peer_server_open_ && !stopping_;
 }
 
 // Each start of the target gets its own incarnation, since each begins with a slow start. A restart of this
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -39,6 +39,14 @@
     boost::asio::awaitable<void> stop();
 
 private:
+    void compare_configuration_version(const std::string& host, std::uint64_t version);
+    boost::asio::awaitable<void> fetch_configuration(std::string host);
+    void record_freshness(steady_time as_of);
+    [[nodiscard]] bool has_compared_versions(steady_time since) const;
+    [[nodiscard]] bool is_any_host_connected() const;
+    [[nodiscard]] bool is_up_to_date_with_hosts() const;
+    /// When this process started, or learnt that the store came back from an older copy.
+    [[nodiscard]] steady_time trust_began_at() const;
     void apply_configuration(std::span<const keyed_record> records);
     void apply_configuration_text(std::string_view text);
     void handle_registry_change();
@@ -63,6 +71,16 @@
     store_settings settings_;
     platform_adapter adapter_;
     const time_source& time_;
+    /// When this process started, and when it last compared its version of the configuration with another
+    /// host's. Both count suspensions.
+    steady_time started_at_;
+    std::optional<steady_time> versions_compared_at_;
+    /// Latest version of the configuration that another host has reported, and since when it is known.
+    std::uint64_t latest_version_elsewhere_{0};
+    steady_time outdated_since_;
+    /// When the configuration was last recorded as fresh.
+    std::optional<steady_time> fresh_recorded_at_;
+    bool is_fetching_configuration_{false};
     std::mt19937_64 random_;
     metrics counters_;
     peer_identity identity_;
--- a/src/dandelionmount/process/topic_follower.cpp
+++ b/src/dandelionmount/process/topic_follower.cpp
@@ -20,6 +20,9 @@
 constexpr duration min_dependent_backoff = std::chrono::milliseconds(400);
 constexpr duration max_dependent_backoff = std::chrono::seconds(4);
 constexpr int max_doublings = 4;
+// When the store comes back from an older copy, the hosts that learn of it from others read it spread over
+// this time.
+constexpr duration era_read_spread = std::chrono::milliseconds(500);
 // Limits on the records kept for other hosts, which request them within a second. When a fleet starts, each
 // host writes a record in that time; a configuration may be a megabyte.
 constexpr std::size_t max_recent_records = 1024;
@@ -44,7 +47,7 @@
 }
 
 std::optional<topic_end> topic_follower::known_end() const {
-    return up_to_date_as_of_ ? std::optional(topic_end{next_, *up_to_date_as_of_}) : std::nullopt;
+    return up_to_date_as_of_ ? std::optional(topic_end{next_, *up_to_date_as_of_, era_}) : std::nullopt;
 }
 
 void topic_follower::record_up_to_date(steady_time as_of) {
@@ -54,7 +57,13 @@
 }
 
 void topic_follower::apply_peer_end(std::string_view host, const topic_end& end) {
-    if (needs_snapshot_) {
+    if (era_ != 0 && end.era > era_) {
+        begin_era(end.era);
+        waits_for_turn_ = true;
+        wake_up_.set();
+    }
+    // Offsets of different eras can't be compared.
+    if (needs_snapshot_ || end.era != era_) {
         return;
     }
     if (end.next <= next_) {
@@ -68,8 +77,9 @@
     }
 }
 
-std::optional<std::vector<keyed_record>> topic_follower::records_from(std::uint64_t offset) const {
-    if (offset > next_ || next_ - offset > recent_records_.size()) {
+std::optional<std::vector<keyed_record>> topic_follower::records_from(std::uint64_t era,
+                                                                      std::uint64_t offset) const {
+    if (era != era_ || needs_snapshot_ || offset > next_ || next_ - offset > recent_records_.size()) {
         return std::nullopt;
     }
     const auto count = static_cast<std::ptrdiff_t>(next_ - offset);
@@ -96,9 +106,11 @@
 
 asio::awaitable<bool> topic_follower::read_from_peer() {
     const std::string host = furthest_peer_;
-    auto page = co_await context_.peers->fetch(host, next_);
-    // An answer without newer records is no progress; the store is read instead.
-    if (!page || page.value().next <= next_ || stopped_) {
+    const auto era = era_;
+    auto page = co_await context_.peers->fetch(host, era, next_);
+    // An answer without newer records, or of an era that has ended meanwhile, is no progress; the store is
+    // read instead.
+    if (!page || page.value().next <= next_ || stopped_ || needs_snapshot_ || era != era_) {
         co_return false;
     }
     apply_page(page.value());
@@ -126,6 +138,34 @@
     handlers_.records(page.records, is_snapshot);
 }
 
+bool topic_follower::is_of_later_era(const topic_records& page) const {
+    return era_ != 0 && page.era > era_;
+}
+
+// The store came back from an older copy: what was read from it since may be gone, and offsets are given out
+// again. The topic is read anew.
+void topic_follower::begin_era(std::uint64_t era) {
+    log_event(log_level::warning, "store came back from an older copy",
+              {{"topic", context_.topic},
+               {"era", std::to_string(era)},
+               {"earlier_era", std::to_string(era_)},
+               {"read_until", std::to_string(next_)}});
+    context_.counters.count(event::store_era_changes);
+    era_ = era;
+    era_changed_at_ = context_.time.now_with_suspension();
+    needs_snapshot_ = true;
+    up_to_date_as_of_.reset();
+    recent_records_.clear();
+    peers_end_ = 0;
+    furthest_peer_.clear();
+}
+
+asio::awaitable<void> topic_follower::wait_for_turn() {
+    waits_for_turn_ = false;
+    std::uniform_real_distribution<double> draw(0, to_seconds(era_read_spread));
+    co_await sleep_for(context_.executor, from_seconds(draw(context_.random)));
+}
+
 store_call topic_follower::cause_of_read() const {
     if (needs_snapshot_) {
         return store_call::snapshot;
@@ -158,11 +198,20 @@
                 continue;
             }
         }
+        if (waits_for_turn_) {
+            co_await wait_for_turn();
+        }
         const auto requested_at = context_.time.now_with_suspension();
+        const auto requested_era = era_;
+        const bool requested_snapshot = needs_snapshot_;
         auto page = co_await read_once();
         if (stopped_) {
             co_return;
         }
+        if (page && era_ != requested_era && page.value().era != era_) {
+            // An answer of an era that another host has reported to be over.
+            continue;
+        }
         if (!page) {
             co_await back_off(page.error().message);
             continue;
@@ -172,6 +221,16 @@
                       {{"topic", context_.topic}, {"failures", std::to_string(failures_)}});
             failures_ = 0;
         }
+        if (is_of_later_era(page.value())) {
+            begin_era(page.value().era);
+        } else if (page.value().era < era_) {
+            co_await back_off("answer of an earlier era");
+            continue;
+        }
+        era_ = page.value().era;
+        if (needs_snapshot_ && !requested_snapshot) {
+            continue;
+        }
         if (page.value().trimmed) {
             log_event(log_level::info, "topic history trimmed", {{"topic", context_.topic}});
             needs_snapshot_ = true;
--- a/src/dandelionmount/process/topic_follower.h
+++ b/src/dandelionmount/process/topic_follower.h
@@ -24,18 +24,21 @@
     std::function<void(steady_time as_of)> caught_up;
 };
 
-/// Observation that a topic ended at offset `next`. The time counts suspensions.
+/// Observation that a topic ended at offset `next` of an era. The time counts suspensions.
 struct topic_end {
     std::uint64_t next{0};
     steady_time as_of;
+    std::uint64_t era{0};
 };
 
 /// How a follower reads its topic from other hosts.
 struct topic_peers {
     /// Whether this host reads the store for the others.
     std::function<bool()> reads_store;
-    /// Fetches the records from an offset on that another host has read.
-    std::function<boost::asio::awaitable<result<topic_records>>(std::string host, std::uint64_t from)> fetch;
+    /// Fetches the records from an offset of an era on that another host has read.
+    std::function<boost::asio::awaitable<result<topic_records>>(std::string host, std::uint64_t era,
+                                                                std::uint64_t from)>
+        fetch;
     /// How long the end that another host reported replaces reads of the store.
     duration end_validity{};
     /// Hosts whose end is too old read the store spread over this time, as they lack newer ends all at once.
@@ -71,9 +74,14 @@
     [[nodiscard]] std::optional<topic_end> known_end() const;
     /// Applies the end of the topic that another host reported.
     void apply_peer_end(std::string_view host, const topic_end& end);
-    /// Records from an offset on, for another host; nullopt when some of them are no longer kept, or when the
-    /// offset is beyond `next`.
-    [[nodiscard]] std::optional<std::vector<keyed_record>> records_from(std::uint64_t offset) const;
+    /// Records from an offset of an era on, for another host; nullopt when some of them are no longer kept,
+    /// when the offset is beyond `next`, or when this host reads another era.
+    [[nodiscard]] std::optional<std::vector<keyed_record>> records_from(std::uint64_t era,
+                                                                        std::uint64_t offset) const;
+    /// Era of the store in which the topic is read; 0 if unknown.
+    [[nodiscard]] std::uint64_t era() const { return era_; }
+    /// When this process learnt that the store came back from an older copy; nullopt if it never did.
+    [[nodiscard]] std::optional<steady_time> era_changed_at() const { return era_changed_at_; }
     /// Offset of the next record to read.
     [[nodiscard]] std::uint64_t next() const { return next_; }
     [[nodiscard]] bool is_connected() const { return failures_ == 0 && caught_up_; }
@@ -89,12 +97,19 @@
     [[nodiscard]] store_call cause_of_read() const;
     boost::asio::awaitable<result<topic_records>> read_once();
     void apply_page(const topic_records& page);
+    void begin_era(std::uint64_t era);
+    [[nodiscard]] bool is_of_later_era(const topic_records& page) const;
+    boost::asio::awaitable<void> wait_for_turn();
     void record_up_to_date(steady_time as_of);
     boost::asio::awaitable<void> back_off(std::string cause);
 
     topic_follower_context context_;
     topic_handlers handlers_;
+    std::uint64_t era_{0};
     std::uint64_t next_{0};
+    std::optional<steady_time> era_changed_at_;
+    /// Whether the next snapshot is read at a random time, as many hosts need one at once.
+    bool waits_for_turn_{false};
     int failures_{0};
     bool needs_snapshot_{true};
     bool caught_up_{false};
--- a/src/dandelionmount/process/topic_sharing.cpp
+++ b/src/dandelionmount/process/topic_sharing.cpp
@@ -33,6 +33,7 @@
             auto* written = grants.add_proofs();
             written->set_topic(follower->topic());
             written->set_next(known->next);
+            written->set_era(known->era);
             written->set_age_ms(to_milliseconds(now - known->as_of + age_rounding));
         }
     }
@@ -46,22 +47,49 @@
         auto* follower = find(reported.topic());
         if (follower != nullptr) {
             follower->apply_peer_end(
-                host, {reported.next(), sent_at - std::chrono::milliseconds(reported.age_ms())});
+                host,
+                {reported.next(), sent_at - std::chrono::milliseconds(reported.age_ms()), reported.era()});
         }
     }
 }
 
 asio::awaitable<result<topic_records>> topic_sharing::fetch(std::string topic, std::string host,
-                                                            std::uint64_t from) {
+                                                            std::uint64_t era, std::uint64_t from) {
+    wire::topic_request request;
+    request.set_topic(topic);
+    request.set_era(era);
+    request.set_from(from);
+    auto found = co_await request_records(std::move(host), std::move(request));
+    if (found) {
+        found.value().era = era;
+        found.value().next = from + found.value().records.size();
+        found.value().end = found.value().next;
+    }
+    co_return found;
+}
+
+asio::awaitable<result<topic_records>> topic_sharing::fetch_newest(std::string topic, std::string host) {
+    wire::topic_request request;
+    request.set_topic(topic);
+    request.set_newest(true);
+    auto found = co_await request_records(std::move(host), std::move(request));
+    co_return found;
+}
+
+void topic_sharing::set_newest(std::string topic, keyed_record record) {
+    newest_.insert_or_assign(std::move(topic), std::move(record));
+}
+
+asio::awaitable<result<topic_records>> topic_sharing::request_records(std::string host,
+                                                                      wire::topic_request request) {
     const auto link = peers_.is_connected(host) ? peers_.find(host) : nullptr;
     if (link == nullptr) {
         co_return failure{"no link to " + host};
     }
     wire::peer_frame frame;
     const std::uint64_t call = random_number();
-    frame.mutable_topic_request()->set_call(call);
-    frame.mutable_topic_request()->set_topic(topic);
-    frame.mutable_topic_request()->set_from(from);
+    request.set_call(call);
+    *frame.mutable_topic_request() = std::move(request);
     const auto reply = co_await link->call(frame, call_key(call), time_.now() + fetch_timeout);
     if (!reply || !reply->has_topic_reply() || !reply->topic_reply().complete()) {
         co_return failure{host + " did not return the records"};
@@ -71,17 +99,24 @@
         found.records.push_back(
             {record.key(), record.has_value() ? std::optional(record.value()) : std::nullopt});
     }
-    found.next = from + found.records.size();
-    found.end = found.next;
     co_return found;
 }
 
+std::optional<std::vector<keyed_record>>
+topic_sharing::find_records(const wire::topic_request& request) const {
+    if (request.newest()) {
+        const auto found = newest_.find(request.topic());
+        return found == newest_.end() ? std::nullopt : std::optional(std::vector{found->second});
+    }
+    const auto* follower = find(request.topic());
+    return follower == nullptr ? std::nullopt : follower->records_from(request.era(), request.from());
+}
+
 void topic_sharing::answer(const wire::topic_request& request, std::shared_ptr<frame_stream> stream) const {
     wire::peer_frame frame;
     auto* reply = frame.mutable_topic_reply();
     reply->set_call(request.call());
-    const auto* follower = find(request.topic());
-    const auto records = follower == nullptr ? std::nullopt : follower->records_from(request.from());
+    const auto records = find_records(request);
     reply->set_complete(records.has_value());
     if (records) {
         for (const auto& record : *records) {
--- a/src/dandelionmount/process/topic_sharing.h
+++ b/src/dandelionmount/process/topic_sharing.h
@@ -5,7 +5,9 @@
 #include "dandelionmount/process/peer_directory.h"
 #include "dandelionmount/process/topic_follower.h"
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,18 +27,28 @@
     void write_topic_ends(wire::rate_grants& grants) const;
     /// Applies the topic ends of an answer to a request sent at `sent_at`, a time that counts suspensions.
     void apply_topic_ends(const wire::rate_grants& grants, std::string_view host, steady_time sent_at);
-    /// Fetches the records of a topic that another host has read.
+    /// Fetches the records of a topic, from an offset of an era on, that another host has read.
     boost::asio::awaitable<result<topic_records>> fetch(std::string topic, std::string host,
-                                                        std::uint64_t from);
+                                                        std::uint64_t era, std::uint64_t from);
+    /// Fetches the record that the other host has set with set_newest().
+    boost::asio::awaitable<result<topic_records>> fetch_newest(std::string topic, std::string host);
+    /// Keeps the newest record of a topic for other hosts, which the store may have lost.
+    void set_newest(std::string topic, keyed_record record);
     /// Answers another host's request for records.
     void answer(const wire::topic_request& request, std::shared_ptr<frame_stream> stream) const;
 
 private:
+    boost::asio::awaitable<result<topic_records>> request_records(std::string host,
+                                                                  wire::topic_request request);
+    [[nodiscard]] std::optional<std::vector<keyed_record>>
+    find_records(const wire::topic_request& request) const;
     [[nodiscard]] topic_follower* find(std::string_view topic) const;
 
     const time_source& time_;
     peer_directory& peers_;
     std::vector<topic_follower*> followers_;
+    /// By topic.
+    std::map<std::string, keyed_record, std::less<>> newest_;
 };
 
 } // namespace dandelionmount
--- a/standins/standin_store.cpp
+++ b/standins/standin_store.cpp
@@ -3,7 +3,8 @@
 //
 // Faults, by "mode": "down" responds 503 to every request, "silent" sends no response, "slow" waits `ms`
 // before each response, "lose" appends but responds 503, "none" ends the fault; "trim" drops the history
-// once.
+// once; "copy" takes a copy of all topics, and "restore" goes back to it in the next era, which all responses
+// name.
 
 #include "dandelionmount/connection/async_event.h"
 #include "dandelionmount/process/clock.h"
@@ -75,10 +76,22 @@
     explicit store_service(asio::any_io_executor executor) : executor_(std::move(executor)) {}
 
     asio::awaitable<dm::http_response> respond(dm::http_request request) {
-        const std::string target(request.target());
-        if (target == "/fault") {
+        if (request.target() == "/fault") {
             co_return set_fault(request.body());
         }
+        const auto era = era_;
+        auto response = co_await respond_without_era(std::move(request));
+        if (era != era_) {
+            // The store was away while this request was pending.
+            co_return dm::make_text_response(status_unavailable, "text/plain", "restarted\n");
+        }
+        response.set("Store-Era", std::to_string(era_));
+        co_return response;
+    }
+
+private:
+    asio::awaitable<dm::http_response> respond_without_era(dm::http_request request) {
+        const std::string target(request.target());
         if (fault_ == "down") {
             co_return dm::make_text_response(status_unavailable, "text/plain", "down\n");
         }
@@ -99,7 +112,6 @@
         co_return response;
     }
 
-private:
     dm::http_response set_fault(const std::string& body) {
         const json fault = json::parse(body, nullptr, false);
         if (!fault.is_object()) {
@@ -109,6 +121,14 @@
             for (auto& [name, topic] : topics_) {
                 topic.trim();
             }
+        } else if (fault.value("mode", "none") == "copy") {
+            copy_ = topics_;
+        } else if (fault.value("mode", "none") == "restore") {
+            // Reads that wait hold references to the topics.
+            for (auto& [name, topic] : topics_) {
+                topic = copy_[name];
+            }
+            ++era_;
         } else {
             fault_ = fault.value("mode", "none");
             fault_ms_ = fault.value("ms", 0);
@@ -151,7 +171,7 @@
         if (fault_ == "down") {
             co_return dm::make_text_response(status_unavailable, "text/plain", "down\n");
         }
-        if (from < topic.first()) {
+        if (from < topic.first() || from > topic.end()) {
             co_return dm::make_text_response(status_gone, "application/json",
                                              json{{"first", topic.first()}}.dump());
         }
@@ -163,6 +183,8 @@
     asio::any_io_executor executor_;
     dm::system_time_source time_;
     std::map<std::string, standins::topic_store> topics_;
+    std::map<std::string, standins::topic_store> copy_;
+    std::uint64_t era_{1};
     std::string fault_{"none"};
     int fault_ms_{0};
 };
--- a/tests/process/fleet_registry_test.cpp
+++ b/tests/process/fleet_registry_test.cpp
@@ -136,4 +136,46 @@
     CHECK(proposals <= 20);
 }
 
+// Guards against hosts that stay unknown, or known in an earlier state, after the store came back from an
+// older copy: what they had been acknowledged is gone.
+TEST_CASE("Hosts write again what the store has lost when it comes back from an older copy") {
+    registry_fixture fixture;
+    const auto empty = fixture.store.take_copy();
+    registry_host first(fixture.io, fixture.store, "a");
+    fixture.run(1500);
+    const auto with_first = fixture.store.take_copy();
+    registry_host second(fixture.io, fixture.store, "b");
+    first.members.self.set_target(dm::wire::target_draining);
+    first.registry.publish();
+    fixture.run(1500);
+    const std::string secret = first.registry.secret();
+    for (const auto& copy : {with_first, empty}) {
+        fixture.store.restore(copy);
+        fixture.store.appends = 0;
+        fixture.run(2000);
+        CHECK(fixture.stored("a") == dm::write_host_record(first.members.self));
+        CHECK(fixture.stored("b") == dm::write_host_record(second.members.self));
+        CHECK(fixture.store.values["secret"] == secret);
+        CHECK(fixture.store.appends <= 4);
+        // A host whose record the store had lost was not forgotten meanwhile.
+        CHECK(first.members.others.contains("b"));
+    }
+}
+
+TEST_CASE("A host that does not write its record again after the store came back is forgotten") {
+    registry_fixture fixture;
+    fixture.store.put("secret", "1");
+    const auto without = fixture.store.take_copy();
+    registry_host host(fixture.io, fixture.store, "a");
+    fixture.store.put("host/gone", dm::write_host_record(make_record("gone")));
+    fixture.run(1500);
+    REQUIRE(host.members.others.contains("gone"));
+    fixture.store.restore(without);
+    fixture.run(1500);
+    CHECK(host.members.others.contains("gone"));
+    fixture.run(6000);
+    host.registry.publish();
+    CHECK_FALSE(host.members.others.contains("gone"));
+}
+
 TEST_SUITE_END();
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -43,13 +43,13 @@
         dm::topic_peers peers;
         peers.reads_store = [this] { return reads_store; };
         peers.end_validity = milliseconds(80);
-        peers.fetch = [this](std::string host,
+        peers.fetch = [this](std::string host, std::uint64_t era,
                              std::uint64_t from) -> asio::awaitable<dm::result<dm::topic_records>> {
-            const auto records = reader.follower.records_from(from);
+            const auto records = reader.follower.records_from(era, from);
             if (!fetch_works || !records) {
                 co_return dm::failure{"no link to " + host};
             }
-            dm::topic_records found{*records, from + records->size(), from + records->size()};
+            dm::topic_records found{*records, era, from + records->size(), from + records->size()};
             co_return found;
         };
         follower.emplace(dm::topic_follower_context{
@@ -220,13 +220,13 @@
         fixture.store.put("a", value);
         fixture.run(30);
     }
-    const auto records = fixture.follower.records_from(2);
+    const auto records = fixture.follower.records_from(1, 2);
     REQUIRE(records);
     REQUIRE(records->size() == 1);
     CHECK(records->front().value == "3");
-    CHECK(fixture.follower.records_from(3)->empty());
-    CHECK_FALSE(fixture.follower.records_from(0));
-    CHECK_FALSE(fixture.follower.records_from(4));
+    CHECK(fixture.follower.records_from(1, 3)->empty());
+    CHECK_FALSE(fixture.follower.records_from(1, 0));
+    CHECK_FALSE(fixture.follower.records_from(1, 4));
 }
 
 // Guards against hosts that start together: the records of 195 of them were more than a host kept, so all
@@ -241,7 +241,7 @@
         fixture.store.put("host/" + std::to_string(host), "record");
     }
     fixture.run(30);
-    const auto records = fixture.follower.records_from(1);
+    const auto records = fixture.follower.records_from(1, 1);
     REQUIRE(records);
     CHECK(records->size() == 500);
 }
@@ -260,4 +260,73 @@
     CHECK(fixture.seen["a"] == "2");
 }
 
+// Guards against a follower that waits for offsets which the store has taken back, or takes new records for
+// old ones: its offset names other records after the store came back from an older copy.
+TEST_CASE("A follower reads the topic anew when the store comes back from an older copy") {
+    for (const int written_since : {0, 1, 2, 3}) {
+        CAPTURE(written_since);
+        follower_fixture fixture;
+        fixture.store.put("a", "1");
+        const auto copy = fixture.store.take_copy();
+        fixture.follower.start();
+        fixture.run(30);
+        fixture.store.put("a", "2");
+        fixture.store.put("b", "1");
+        fixture.run(30);
+        REQUIRE(fixture.seen["b"] == "1");
+        fixture.store.restore(copy);
+        for (int record = 0; record < written_since; ++record) {
+            fixture.store.put("c", std::to_string(record));
+        }
+        fixture.run(100);
+        CHECK(fixture.seen["a"] == "1");
+        CHECK(fixture.seen["c"] == (written_since == 0 ? "" : std::to_string(written_since - 1)));
+        CHECK(fixture.follower.era() == 2);
+        fixture.store.put("d", "1");
+        fixture.run(30);
+        CHECK(fixture.seen["d"] == "1");
+        CHECK(fixture.counters.total(dm::event::store_era_changes) == 1);
+    }
+}
+
+TEST_CASE("Ends and records of an earlier era count for nothing at a host that knows a later one") {
+    follower_fixture fixture;
+    fixture.store.put("a", "1");
+    const auto copy = fixture.store.take_copy();
+    fixture.follower.start();
+    fixture.run(30);
+    fixture.store.put("a", "2");
+    fixture.run(30);
+    const auto earlier = fixture.follower.known_end().value();
+    fixture.store.restore(copy);
+    fixture.run(100);
+    REQUIRE(fixture.follower.era() == 2);
+    const auto fresh = fixture.caught_up;
+    fixture.store.refuses = true;
+    fixture.run(20);
+    fixture.follower.apply_peer_end("late",
+                                    {earlier.next, earlier.as_of + std::chrono::hours(1), earlier.era});
+    fixture.follower.apply_peer_end("old version", {1, earlier.as_of + std::chrono::hours(1), 0});
+    CHECK(fixture.caught_up < *fresh + std::chrono::hours(1));
+    CHECK_FALSE(fixture.follower.records_from(1, 1));
+    CHECK(fixture.follower.records_from(2, 1));
+}
+
+TEST_CASE("A follower that learns of a later era from another host reads the topic anew") {
+    sharing_fixture fixture;
+    const auto copy = fixture.reader.store.take_copy();
+    fixture.put("a", "2");
+    fixture.run_with_peer_ends(60);
+    REQUIRE(fixture.seen["a"] == "2");
+    fixture.reader.store.restore(copy);
+    fixture.own_store.restore(copy);
+    fixture.put("c", "1");
+    fixture.reader.run(100);
+    REQUIRE(fixture.reader.follower.era() == 2);
+    fixture.run_with_peer_ends(800);
+    CHECK(fixture.follower->era() == 2);
+    CHECK(fixture.seen["c"] == "1");
+    CHECK(fixture.seen["a"] == "1");
+}
+
 TEST_SUITE_END();
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -28,6 +28,7 @@
         }
         found.next = end();
         found.end = end();
+        found.era = era;
         co_return found;
     }
 
@@ -39,7 +40,8 @@
             co_return dandelionmount::failure{"status 503"};
         }
         dandelionmount::topic_records found;
-        found.trimmed = from < first;
+        found.trimmed = from < first || from > end();
+        found.era = era;
         found.end = end();
         found.next = from;
         while (!found.trimmed && found.next < end() && found.records.size() < max_records_per_read) {
@@ -75,11 +77,26 @@
         log.clear();
     }
 
+    struct copy {
+        std::map<std::string, std::string> values;
+        std::vector<dandelionmount::keyed_record> log;
+        std::uint64_t first{0};
+    };
+    [[nodiscard]] copy take_copy() const { return {values, log, first}; }
+    /// Comes back from an older copy, in a later era.
+    void restore(const copy& older) {
+        values = older.values;
+        log = older.log;
+        first = older.first;
+        ++era;
+    }
+
     [[nodiscard]] std::uint64_t end() const { return first + log.size(); }
 
     std::map<std::string, std::string> values;
     std::vector<dandelionmount::keyed_record> log;
     std::uint64_t first{0};
+    std::uint64_t era{1};
     bool refuses{false};
     std::size_t max_records_per_read{100};
     int calls{0};
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -1,6 +1,6 @@
 """Randomized soak test: real hosts under faults drawn from a seed, checked by what callers and targets receive.
 
-    python3 tests/system/soak.py --seed N --seconds S [--hosts H] [--seeds A,B-C] [--regressions]
+    python3 tests/system/soak.py --seed N --seconds S [--hosts H] [--seeds A,B-C] [--old-copies] [--regressions]
 
 Prints one line for each violated guarantee, and exits with 1 if there was any:
 
@@ -205,8 +205,8 @@
 class Soak:
     """The run of one seed: a fleet, its callers and its faults."""
 
-    def __init__(self, seed, hosts):
-        self.seed, self.hosts = seed, hosts
+    def __init__(self, seed, hosts, has_old_copies=False):
+        self.seed, self.hosts, self.has_old_copies = seed, hosts, has_old_copies
         self.random = random.Random(seed)
         self.lock = threading.Lock()
         self.counts, self.runs, self.refused = {}, {}, set()
@@ -368,7 +368,28 @@
         extra_routes = [(f"late{self.version}", "safe", "back")] if self.random.random() < 0.5 else []
         timeout = f"{self.random.choice(ROUTE_TIMEOUTS_S)}s"
         if not self.store_is_faulty:
-            self.fleet.configure(self.version, [KEY, f"key-{self.version}"], timeout=timeout, extra_routes=extra_routes)
+            self.write_configuration(self.version, [KEY, f"key-{self.version}"], timeout=timeout,
+                                     extra_routes=extra_routes)
+
+    def write_configuration(self, *arguments, **settings):
+        self.written = (arguments, settings)
+        self.fleet.configure(*arguments, **settings)
+
+    def restore_old_copies(self):
+        """Lets the store come back from copies that are some seconds old. Operators write again what it has lost."""
+        rng = random.Random(self.seed + 1000)
+        while not self.is_finished:
+            self.fleet.set_fault(mode="copy")
+            time.sleep(rng.uniform(0.2, 3))
+            if self.store_is_faulty or self.is_finished:
+                continue
+            self.inject_store_fault("down", rng.uniform(0, 0.5))
+            self.fleet.set_fault(mode="restore")
+            self.count("restore")
+            time.sleep(rng.uniform(0, 1.5))
+            arguments, settings = self.written
+            self.fleet.configure(*arguments, **settings)
+            time.sleep(rng.uniform(0, 2))
 
     def inject_random_fault(self):
         rng = self.random
@@ -417,7 +438,7 @@
 
     def run(self, seconds):
         self.fleet.wait_for(lambda: self.fleet.request(0, "/read/0/0") is not None)
-        self.fleet.configure(self.version, [KEY], timeout=f"{ROUTE_TIMEOUTS_S[0]}s")
+        self.write_configuration(self.version, [KEY], timeout=f"{ROUTE_TIMEOUTS_S[0]}s")
         if not self.fleet.wait_connected():
             raise RuntimeError("the fleet did not get connected; logs in " + self.fleet.dir)
         self.started_at = time.monotonic()
@@ -426,6 +447,8 @@
             caller.start()
         for index in range(self.hosts):
             self.start(self.poll_readiness, index)
+        if self.has_old_copies:
+            self.start(self.restore_old_copies)
         next_fault = self.started_at + 0.5
         while time.monotonic() - self.started_at < seconds:
             self.report_and_restart_dead_hosts()
@@ -466,13 +489,14 @@
     parser.add_argument("--seeds", help="several in place of one, as in 3,5-8")
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--hosts", type=int, default=5)
+    parser.add_argument("--old-copies", action="store_true", help="the store also comes back from older copies")
     parser.add_argument("--regressions", action="store_true", help="the seeds of soak_seeds.txt, which failed once")
     arguments = parser.parse_args()
     cases = [(seed, arguments.hosts, arguments.seconds)
              for seed in read_seeds(arguments.seeds or str(arguments.seed))]
     if arguments.regressions:
         cases = read_regressions()
-    violations = sum(Soak(seed, hosts).run(seconds) for seed, hosts, seconds in cases)
+    violations = sum(Soak(seed, hosts, arguments.old_copies).run(seconds) for seed, hosts, seconds in cases)
     sys.exit(1 if violations else 0)
 
 
--- a/tests/system/store_test.py
+++ b/tests/system/store_test.py
@@ -134,6 +134,34 @@
         self.fleet.set_fault(mode="none")
         self.assertTrue(self.fleet.wait_for(lambda: self.fleet.request(0, "/read/x", key="second").status == 200, 5))
 
+    # Guards against a withdrawn key that is valid again, and hosts that wait for offsets which are gone, after the store
+    # came back from an older copy. One host starts with nothing but that copy.
+    def test_a_withdrawn_key_stays_withdrawn_when_the_store_comes_back_from_an_older_copy(self):
+        self.start()
+        self.fleet.set_fault(mode="copy")
+        self.fleet.configure(5, ["second"])
+        for index in range(3):
+            self.assertTrue(self.fleet.wait_for(lambda: self.fleet.request(index, "/read/x").status == 401, 3))
+        self.fleet.nodes[1].send_signal(signal.SIGKILL)
+        self.fleet.nodes[1].wait()
+        self.fleet.set_fault(mode="restore")
+        self.fleet.nodes[1] = self.fleet.start_node(1)
+        self.assertTrue(self.fleet.wait_for(lambda: self.fleet.request(1, "/read/x") is not None))
+        restored_at = time.monotonic()
+        while time.monotonic() - restored_at < 6:
+            for index in range(3):
+                self.assertIn(self.fleet.request(index, "/read/x").status, (401, 503))
+            for index in (0, 2):
+                self.assertEqual(self.fleet.request(index, "/read/x", key="second").status, 200)
+            time.sleep(0.02)
+        self.assertEqual(self.fleet.request(1, "/read/x", key="second").status, 200)
+        self.assertTrue(self.fleet.wait_connected())
+        self.fleet.configure(5, ["second"])
+        self.fleet.configure(7, ["second", "third"])
+        for index in range(3):
+            self.assertTrue(
+                self.fleet.wait_for(lambda: self.fleet.request(index, "/read/x", key="third").status == 200, 3))
+
     def test_a_configuration_survives_lost_responses_and_a_trimmed_history(self):
         self.start()
         self.fleet.set_fault(mode="lose")
