Attribute calls by requests, and compare with the main caller of a service

Beside it, calls were modelled by running time, which changes when calls slow down while their number does not.

--- a/src/dandelionmount/process/call_attribution.h
+++ b/src/dandelionmount/process/call_attribution.h
@@ -7,9 +7,10 @@
 #include <vector>
 
 // Estimates which routes of a target call which services, for targets whose calls do not name the request
-// that they belong to. The calls of an interval are modelled as the sum over the routes of running time times
-// calls per second. Source: recursive least squares with exponential forgetting, Haykin, "Adaptive Filter
-// Theory"; solved for non-negative coefficients by coordinate descent.
+// that they belong to. The calls of an interval are modelled as the sum over the routes of requests times
+// calls per request, a number that stays the same while calls slow down. Source: recursive least squares with
+// exponential forgetting, Haykin, "Adaptive Filter Theory"; solved for non-negative coefficients by
+// coordinate descent.
 
 namespace dandelionmount {
 
@@ -17,12 +18,14 @@
 struct call_attribution {
     /// Routes, in the order of the matrix rows.
     std::vector<std::string> routes;
-    /// Matrix of the products of the routes' running times.
+    /// Requests by route.
+    std::vector<double> requests;
+    /// Matrix of the products of the routes' requests.
     std::vector<std::vector<double>> products;
     struct callee {
-        /// Products of the routes' running times and the calls.
+        /// Products of the routes' requests and the calls.
         std::vector<double> products;
-        /// Calls per second of running time, by route.
+        /// Calls per request, by route.
         std::vector<double> rates;
     };
     std::map<std::string, callee, std::less<>> services;
@@ -30,14 +33,19 @@
     double intervals{0};
 };
 
-/// Records one interval: running time of each route's requests, in seconds, and number of calls of each
-/// service.
-void record_interval(call_attribution& attribution, const std::map<std::string, double, std::less<>>& running,
+/// Records one interval: number of requests of each route and of calls of each service.
+void record_interval(call_attribution& attribution,
+                     const std::map<std::string, double, std::less<>>& requests,
                      const std::map<std::string, double, std::less<>>& calls);
-/// Estimated calls of the service per second that a request of the route runs. Returns the highest rate of
-/// all routes while there are too few intervals or the route is unknown, and 0 for an unknown service.
-[[nodiscard]] double calls_per_second(const call_attribution& attribution, std::string_view route,
-                                      std::string_view service);
+/// Estimated calls of the service per request of the route. Returns the highest number of all routes while
+/// there are too few intervals or the route is unknown, and 0 for an unknown service.
+[[nodiscard]] double calls_per_request(const call_attribution& attribution, std::string_view route,
+                                       std::string_view service);
+
+/// Estimated calls of the service per request of the route that makes most of the service's calls; 0 if there
+/// is none.
+[[nodiscard]] double calls_per_request_of_main_caller(const call_attribution& attribution,
+                                                      std::string_view service);
 
 } // namespace dandelionmount
 
--- a/src/dandelionmount/process/service_pressure.cpp
+++ b/src/dandelionmount/process/service_pressure.cpp
@@ -14,8 +14,9 @@
 constexpr double ewma_weight = 0.1;
 // Mean number of calls per request from which a route counts as calling a service.
 constexpr double min_calls = 0.3;
-// The same as a share of the calls of the route that calls the service most. The attribution gives a part of
-// its calls to routes that run beside it, above all while calls fail and their requests end early.
+// The same relative to the route that makes most of the service's calls. The attribution gives a part of its
+// calls to routes that run beside it, above all while calls fail and their requests end early. The estimates
+// of routes with few requests are too uncertain to compare with.
 constexpr double min_relative_calls = 0.25;
 // Requests that one arrival can represent; corresponds to the smallest share that ingress nodes admit, 0.02.
 constexpr double max_weight = 50;
@@ -34,21 +35,17 @@
     return found != pressure.routes.end() ? found->second : pressure.routes[std::string(route)];
 }
 
-double calls_per_request(const service_pressure& pressure, std::string_view route, const route_load& load,
-                         std::string_view service) {
-    return calls_per_second(pressure.attribution, route, service) * load.run_time;
+// Calls per second of a request's run time.
+double call_rate(const service_pressure& pressure, std::string_view route, const route_load& load,
+                 std::string_view service) {
+    return load.run_time > 0 ? calls_per_request(pressure.attribution, route, service) / load.run_time : 0;
 }
 
 // Whether requests of the route call the service.
-bool leads_to(const service_pressure& pressure, std::string_view route, const route_load& load,
-              std::string_view service) {
-    const double calls = calls_per_request(pressure, route, load, service);
-    // Answered for each reply, so the other routes are visited only where the answer depends on them.
+bool leads_to(const service_pressure& pressure, std::string_view route, std::string_view service) {
+    const double calls = calls_per_request(pressure.attribution, route, service);
     return calls >= min_calls &&
-           std::none_of(pressure.routes.begin(), pressure.routes.end(), [&](const auto& other) {
-               return calls <
-                      min_relative_calls * calls_per_request(pressure, other.first, other.second, service);
-           });
+           calls >= min_relative_calls * calls_per_request_of_main_caller(pressure.attribution, service);
 }
 
 // Concurrent requests that the target can take, estimated from its limit and its queue.
@@ -62,12 +59,12 @@
 }
 
 void end_attribution_interval(service_pressure& pressure, steady_time now) {
-    std::map<std::string, double, std::less<>> running;
+    std::map<std::string, double, std::less<>> requests;
     for (auto& [route, load] : pressure.routes) {
-        running[route] = load.run_seconds;
-        load.run_seconds = 0;
+        requests[route] = load.interval_requests;
+        load.interval_requests = 0;
     }
-    record_interval(pressure.attribution, running, pressure.calls);
+    record_interval(pressure.attribution, requests, pressure.calls);
     pressure.calls.clear();
     pressure.interval_began = now;
 }
@@ -83,12 +80,14 @@
 void record_start(service_pressure& pressure, std::string_view route, double repeat_share) {
     route_load& load = load_of(pressure, route);
     ++load.running;
+    load.interval_requests += 0.5;
     load.running_repeats += repeat_share;
 }
 
 void record_end(service_pressure& pressure, std::string_view route, double repeat_share, duration elapsed) {
     route_load& load = load_of(pressure, route);
     load.running -= load.running > 0 ? 1 : 0;
+    load.interval_requests += 0.5;
     load.running_repeats = std::max(0.0, load.running_repeats - repeat_share);
     const double seconds = to_seconds(elapsed);
     load.run_time = load.run_time == 0 ? seconds : load.run_time + ewma_weight * (seconds - load.run_time);
@@ -117,7 +116,6 @@
         load.arrival_rate += weight * (load.arrived / seconds - load.arrival_rate);
         load.demanded = 0;
         load.arrived = 0;
-        load.run_seconds += load.running * seconds;
         // Little's law: requests in progress are the arrival rate times the run time.
         concurrency += load.demand_rate * load.run_time;
     }
@@ -140,7 +138,7 @@
         return highest;
     }
     for (const auto& [service, entry] : pressure.callee_ratios) {
-        if (leads_to(pressure, load->first, load->second, service.route)) {
+        if (leads_to(pressure, load->first, service.route)) {
             highest = std::max(highest, current_ratio(pressure.callee_ratios, service, now));
         }
     }
@@ -151,7 +149,7 @@
     double repeats = 0;
     double running = 0;
     for (const auto& [route, load] : pressure.routes) {
-        const double calls = calls_per_second(pressure.attribution, route, service);
+        const double calls = call_rate(pressure, route, load, service);
         repeats += calls * load.running_repeats;
         running += calls * load.running;
     }
@@ -162,7 +160,7 @@
     double demanded = 0;
     double arrived = 0;
     for (const auto& [route, load] : pressure.routes) {
-        const double calls = calls_per_request(pressure, route, load, service);
+        const double calls = calls_per_request(pressure.attribution, route, service);
         demanded += calls * load.demand_rate;
         arrived += calls * load.arrival_rate;
     }
--- a/src/dandelionmount/process/service_pressure.h
+++ b/src/dandelionmount/process/service_pressure.h
@@ -32,8 +32,9 @@
     std::uint32_t running{0};
     /// Expected number of repeats among the running requests.
     double running_repeats{0};
-    /// Total running time, in seconds, in the current attribution interval.
-    double run_seconds{0};
+    /// Requests in the current attribution interval, counted half at their start and half at their end, as
+    /// their calls lie between.
+    double interval_requests{0};
 };
 
 /// Load of one host's target and of the services downstream.
