--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -357,7 +357,6 @@
         node.send_signal(signal.SIGCONT)
 
     def inject_store_fault(self, mode, duration_s):
-        self.store_is_faulty = True
         self.fleet.set_fault(mode=mode, ms=200)
         time.sleep(duration_s)
         self.fleet.set_fault(mode="none")
@@ -381,16 +380,25 @@
         while not self.is_finished:
             self.fleet.set_fault(mode="copy")
             time.sleep(rng.uniform(0.2, 3))
-            if self.store_is_faulty or self.is_finished:
+            if self.is_finished or not self.claim_store():
                 continue
-            self.inject_store_fault("down", rng.uniform(0, 0.5))
+            self.fleet.set_fault(mode="down")
+            time.sleep(rng.uniform(0, 0.5))
             self.fleet.set_fault(mode="restore")
+            self.fleet.set_fault(mode="none")
             self.count("restore")
             time.sleep(rng.uniform(0, 1.5))
             arguments, settings = self.written
             self.fleet.configure(*arguments, **settings)
+            self.store_is_faulty = False
             time.sleep(rng.uniform(0, 2))
 
+    def claim_store(self):
+        """Marks the store as faulty; returns False if it is so already."""
+        with self.lock:
+            was_faulty, self.store_is_faulty = self.store_is_faulty, True
+        return not was_faulty
+
     def inject_random_fault(self):
         rng = self.random
         available_hosts = [index for index in range(self.hosts) if index not in self.busy_hosts]
@@ -415,7 +423,7 @@
             self.start(self.pause_host, rng.randrange(self.hosts), durations_s[1])
         elif kind == "configure":
             self.configure()
-        elif kind == "store" and not self.store_is_faulty:
+        elif kind == "store" and self.claim_store():
             self.start(self.inject_store_fault, mode, durations_s[1])
         elif kind == "trim":
             self.fleet.set_fault(mode="trim")
