Tell the first era of the store from none, also when eras begin at zero

Cause: era 0 stood both for a store that names none and for one that was not read yet, so a rise from 0 to 1 was not taken for an older copy. Found by reading.

An answer's load compares incarnations only when the target has said that it is leaving.

--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -93,7 +93,7 @@
 // A snapshot lacks the hosts that have left. After the store came back from an older copy it also lacks those
 // that have joined since, which write their records again.
 void fleet_registry::apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys) {
-    const bool is_older_copy = snapshot_era_ != 0 && follower_.era() != snapshot_era_;
+    const bool is_older_copy = snapshot_era_ && follower_.era() != *snapshot_era_;
     snapshot_era_ = follower_.era();
     std::vector<std::string> gone;
     for (const auto& [host, member] : context_.members.others) {
@@ -120,7 +120,7 @@
     }
     if (is_older_copy) {
         log_event(log_level::info, "host records read from an older copy of the store",
-                  {{"era", std::to_string(snapshot_era_)},
+                  {{"era", std::to_string(*snapshot_era_)},
                    {"missing_hosts", std::to_string(gone.size())},
                    {"own_record_missing", stored_own_record_.empty() ? "yes" : "no"},
                    {"secret_missing", lacks_secret ? "yes" : "no"}});
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -71,8 +71,8 @@
     /// Records written by this process: those that the store acknowledged, and those whose answer was lost.
     std::set<std::string> acknowledged_records_;
     std::set<std::string> unanswered_records_;
-    /// Era of the store that the last snapshot was read in.
-    std::uint64_t snapshot_era_{0};
+    /// Era of the store that the last snapshot was read in; nullopt before the first.
+    std::optional<std::uint64_t> snapshot_era_;
     /// Hosts whose records the store has lost, and since when; they write them again if they live.
     std::map<std::string, steady_time, std::less<>> missing_since_;
     bool is_writing_{false};
--- a/src/dandelionmount/process/local_target.cpp
+++ b/src/dandelionmount/process/local_target.cpp
@@ -167,7 +167,8 @@
     load.set_queued(static_cast<std::uint32_t>(limiter_.queue.size()));
     load.set_limit(static_cast<std::uint32_t>(std::floor(effective_limit(limiter_))));
     load.set_rate_limit(limiter_.rate.per_second.value_or(0));
-    load.set_leaving_incarnation(leaving_incarnation_ == incarnation() ? leaving_incarnation_ : 0);
+    const bool is_leaving = leaving_incarnation_ != 0 && leaving_incarnation_ == incarnation();
+    load.set_leaving_incarnation(is_leaving ? leaving_incarnation_ : 0);
     return load;
 }
 
--- a/src/dandelionmount/process/topic_follower.cpp
+++ b/src/dandelionmount/process/topic_follower.cpp
@@ -57,7 +57,7 @@
 }
 
 void topic_follower::apply_peer_end(std::string_view host, const topic_end& end) {
-    if (era_ != 0 && end.era > era_) {
+    if (has_read_ && end.era > era_) {
         begin_era(end.era);
         waits_for_turn_ = true;
         wake_up_.set();
@@ -139,7 +139,7 @@
 }
 
 bool topic_follower::is_of_later_era(const topic_records& page) const {
-    return era_ != 0 && page.era > era_;
+    return has_read_ && page.era > era_;
 }
 
 // The store came back from an older copy: what was read from it since may be gone, and offsets are given out
@@ -228,6 +228,7 @@
             continue;
         }
         era_ = page.value().era;
+        has_read_ = true;
         if (needs_snapshot_ && !requested_snapshot) {
             continue;
         }
--- a/src/dandelionmount/process/topic_follower.h
+++ b/src/dandelionmount/process/topic_follower.h
@@ -105,6 +105,8 @@
 
     topic_follower_context context_;
     topic_handlers handlers_;
+    /// Whether the store has answered, so that `era_` is known.
+    bool has_read_{false};
     std::uint64_t era_{0};
     std::uint64_t next_{0};
     std::optional<steady_time> era_changed_at_;
--- a/tests/process/topic_follower_test.cpp
+++ b/tests/process/topic_follower_test.cpp
@@ -266,6 +266,8 @@
     for (const int written_since : {0, 1, 2, 3}) {
         CAPTURE(written_since);
         follower_fixture fixture;
+        // Eras may begin with any number.
+        fixture.store.era = written_since % 2;
         fixture.store.put("a", "1");
         const auto copy = fixture.store.take_copy();
         fixture.follower.start();
@@ -281,7 +283,7 @@
         fixture.run(100);
         CHECK(fixture.seen["a"] == "1");
         CHECK(fixture.seen["c"] == (written_since == 0 ? "" : std::to_string(written_since - 1)));
-        CHECK(fixture.follower.era() == 2);
+        CHECK(fixture.follower.era() == written_since % 2 + 1);
         fixture.store.put("d", "1");
         fixture.run(30);
         CHECK(fixture.seen["d"] == "1");
