--- a/src/dandelionmount/process/local_target.cpp
+++ b/src/dandelionmount/process/local_target.cpp
@@ -130,11 +130,15 @@
 }
 
 void local_target::mark_leaving() {
+    if (leaving_incarnation_ == incarnation()) {
+        return;
+    }
     leaving_incarnation_ = incarnation();
+    log_event(log_level::info, "target says in a response that it is leaving",
+              {{"instance", announced_.instance}, {"state", std::to_string(announced_.state)}});
     if (announced_.state == wire::target_none || announced_.state == wire::target_draining) {
         return;
     }
-    log_event(log_level::info, "target is leaving", {{"instance", announced_.instance}});
     announced_.state = wire::target_draining;
     if (action_) {
         action_();
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -22,22 +22,13 @@
 constexpr int rounds_between_reports = 2;
 constexpr int rounds_per_second = 8;
 constexpr int rounds_between_call_logs = 10 * rounds_per_second;
-// How long one read of the configuration waits for a record. A known end of the topic dates from the start of
-// its read, so it may be twice as old as this when the next read ends. With the interval between reports
-// added, that stays below `configuration_end_validity`.
-constexpr duration configuration_poll_timeout = std::chrono::milliseconds(600);
 // A host whose known end is older reads the store itself, so that a change is in force within two seconds.
+// The end is at most as old as two reads of the configuration and the interval between reports take.
 constexpr duration configuration_end_validity = std::chrono::milliseconds(1600);
 // The same for the list of hosts, whose reads wait longer.
 constexpr duration hosts_end_validity = std::chrono::milliseconds(7000);
 // Hosts whose known ends are too old all at once read the store spread over this time.
 constexpr duration store_read_spread = std::chrono::seconds(1);
-// A host without any configuration has nothing that could be outdated, and only waits for the first one.
-constexpr duration first_configuration_poll_timeout = std::chrono::seconds(3);
-// Time in which a host reads a configuration that others have read from the store.
-constexpr duration max_read_lag = std::chrono::milliseconds(500);
-// A host that reaches no other one for this long trusts the store alone.
-constexpr duration comparison_wait_limit = std::chrono::seconds(5);
 // Subtracted from the time within which a withdrawn key must stop working, for clocks that run at different
 // speeds.
 constexpr duration freshness_margin = std::chrono::milliseconds(500);
@@ -105,9 +96,9 @@
 
 store_node::store_node(asio::io_context& io, const store_settings& own, const platform_adapter& adapter,
                        record_store& store, const time_source& time)
-    : io_(io), settings_(own), adapter_(adapter), time_(time), started_at_(time.now_with_suspension()),
-      random_(random_number()), identity_{own.host, random_number(), {}},
-      members_{make_own_record(own, identity_.incarnation)}, configuration_({}, time),
+    : io_(io), settings_(own), adapter_(adapter), time_(time), random_(random_number()),
+      identity_{own.host, random_number(), {}}, members_{make_own_record(own, identity_.incarnation)},
+      configuration_({}, time),
       target_(time, {}, own.announcement_interval * missed_announcements_until_gone),
       peers_({io.get_executor(), identity_, time, counters_, true, settling_skips_idempotent,
               [this](const std::string& host, bool reachable) {
@@ -131,21 +122,23 @@
       limiter_({io.get_executor(), time, counters_, configuration_, members_, peers_, topics_,
                 outlier_detector_, retry_limiter_,
                 [this](const std::string& host, std::uint64_t version) {
-                    compare_configuration_version(host, version);
+                    configuration_source_.compare_version(host, version);
                 }}),
       registry_({io.get_executor(), time, counters_, store, random_, members_, adapter.hosts_topic,
                  [this] { handle_registry_change(); },
                  make_topic_peers(adapter.hosts_topic, hosts_end_validity)}),
-      configuration_follower_(
-          {io.get_executor(), time, counters_, store, random_, adapter.configuration_topic,
-           [this] {
-               return configuration_.is_ready() ? configuration_poll_timeout
-                                                : first_configuration_poll_timeout;
-           },
-           [] { return duration{0}; },
-           make_topic_peers(adapter.configuration_topic, configuration_end_validity)},
-          {[this](std::span<const keyed_record> records, bool) { apply_configuration(records); },
-           [this](steady_time as_of) { record_freshness(as_of); }}),
+      configuration_source_({io.get_executor(), time, counters_, store, random_, adapter.configuration_topic,
+                             adapter.configuration_key,
+                             make_topic_peers(adapter.configuration_topic, configuration_end_validity),
+                             configuration_,
+                             [this](std::string_view document) { apply_configuration(document); },
+                             [this](std::string host) {
+                                 return topics_.fetch_newest(adapter_.configuration_topic, std::move(host));
+                             },
+                             [this] {
+                                 return host_contact{!registry_.secret().empty(), !members_.others.empty(),
+                                                     is_any_host_connected()};
+                             }}),
       peer_server_(
           io.get_executor(), identity_, counters_,
           [this](const wire::peer_frame& frame, const peer_id& from, std::shared_ptr<frame_stream> stream) {
@@ -167,7 +160,7 @@
                        [this](http_request request, std::shared_ptr<cancel_token>) {
                            return handle_operator_request(std::move(request));
                        }) {
-    topics_.add(configuration_follower_);
+    topics_.add(configuration_source_.follower());
     topics_.add(registry_.follower());
     configuration_.require_freshness({own.key_withdrawal - freshness_margin});
     target_.on_change([this] { publish_target(); });
@@ -198,7 +191,7 @@
             return opened;
         }
     }
-    configuration_follower_.start();
+    configuration_source_.start();
     registry_.start();
     asio::co_spawn(io_, run_maintenance(), asio::detached);
     log_event(log_level::info, "started",
@@ -210,17 +203,7 @@
     return boost::outcome_v2::success();
 }
 
-void store_node::apply_configuration(std::span<const keyed_record> records) {
-    // Each record holds the whole configuration, so only the newest counts.
-    const auto newest = std::find_if(records.rbegin(), records.rend(), [this](const keyed_record& record) {
-        return record.key == adapter_.configuration_key && record.value;
-    });
-    if (newest != records.rend()) {
-        apply_configuration_text(*newest->value);
-    }
-}
-
-void store_node::apply_configuration_text(std::string_view text) {
+void store_node::apply_configuration(std::string_view text) {
     auto read = adapter_.read_configuration(text);
     if (!read) {
         log_event(log_level::error, "configuration rejected", {{"cause", read.error().message}});
@@ -240,70 +223,11 @@
     }
 }
 
-// The store may have lost a configuration that hosts have acted on. The later version wins, so a host that
-// lacks it takes it from the others, unless it is about to read it anyway.
-void store_node::compare_configuration_version(const std::string& host, std::uint64_t version) {
-    const auto now = time_.now_with_suspension();
-    versions_compared_at_ = now;
-    if (version > latest_version_elsewhere_) {
-        latest_version_elsewhere_ = version;
-        outdated_since_ = now;
-    }
-    const bool holds_later = version > configuration_.state().document_version;
-    if (holds_later && !is_up_to_date_with_hosts() && !is_fetching_configuration_) {
-        is_fetching_configuration_ = true;
-        asio::co_spawn(io_, fetch_configuration(host), asio::detached);
-    }
-}
-
-// A host that has been up to date since it started, or since the store came back from an older copy, has some
-// time to read a later version. Before, it must not miss any version that another host has.
-bool store_node::is_up_to_date_with_hosts() const {
-    if (configuration_.state().document_version >= latest_version_elsewhere_) {
-        return true;
-    }
-    const bool was_up_to_date = fresh_recorded_at_ && *fresh_recorded_at_ >= trust_began_at();
-    return was_up_to_date && time_.now_with_suspension() - outdated_since_ <= max_read_lag;
-}
-
-steady_time store_node::trust_began_at() const {
-    return configuration_follower_.era_changed_at().value_or(started_at_);
-}
-
-asio::awaitable<void> store_node::fetch_configuration(std::string host) {
-    const auto found = co_await topics_.fetch_newest(adapter_.configuration_topic, host);
-    log_event(log_level::info, "later configuration requested from another host",
-              {{"host", host}, {"outcome", found ? "received" : found.error().message}});
-    if (found) {
-        apply_configuration(found.value().records);
-    }
-    is_fetching_configuration_ = false;
-}
-
-// After a start, or a return of the store from an older copy, the end of the topic is no proof by itself: the
-// store may lack a withdrawal that other hosts know of.
-bool store_node::has_compared_versions(steady_time since) const {
-    if (registry_.secret().empty()) {
-        return false;
-    }
-    if (members_.others.empty() || (versions_compared_at_ && *versions_compared_at_ >= since)) {
-        return true;
-    }
-    return !is_any_host_connected() && time_.now_with_suspension() - since > comparison_wait_limit;
-}
-
 bool store_node::is_any_host_connected() const {
     return std::any_of(members_.others.begin(), members_.others.end(),
                        [this](const auto& entry) { return peers_.is_connected(entry.first); });
 }
 
-void store_node::record_freshness(steady_time as_of) {
-    if (is_up_to_date_with_hosts() && has_compared_versions(trust_began_at())) {
-        fresh_recorded_at_ = time_.now_with_suspension();
-        configuration_.record_freshness(as_of);
-    }
-}
-
 void store_node::handle_registry_change() {
     if (!registry_.secret().empty() && !peer_server_open_ && !stopping_) {
         identity_.secret = registry_.secret();
@@ -493,7 +417,7 @@
                                 {"version", configuration_.state().document_version},
                                 {"version_age_ms", to_milliseconds(configuration_.age())},
                                 {"keys_count", configuration_.is_fresh()},
-                                {"store_connected", configuration_follower_.is_connected()},
+                                {"store_connected", configuration_source_.follower().is_connected()},
                                 {"target", target_.announced().instance},
                                 {"hosts", hosts}};
     return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
@@ -539,7 +463,7 @@
     co_await wait_until_idle(stop_context, deadline);
     log_stop_progress("no request running", stop_began);
     co_await wait_until_flushed(stop_context, deadline);
-    configuration_follower_.stop();
+    configuration_source_.stop();
     asio::co_spawn(io_, registry_.leave(), asio::detached);
     const auto leave_deadline = time_.now() + leave_timeout;
     while (!registry_.has_left() && time_.now() < leave_deadline) {
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -3,6 +3,7 @@
 
 #include "dandelionmount/connection/caller_server.h"
 #include "dandelionmount/connection/peer_server.h"
+#include "dandelionmount/process/configuration_source.h"
 #include "dandelionmount/process/configuration_store.h"
 #include "dandelionmount/process/fleet_limiter.h"
 #include "dandelionmount/process/fleet_registry.h"
@@ -15,7 +16,6 @@
 #include "dandelionmount/process/service_pressure.h"
 #include "dandelionmount/process/store_settings.h"
 #include "dandelionmount/process/outlier_detector.h"
-#include "dandelionmount/process/topic_follower.h"
 #include "dandelionmount/process/topic_sharing.h"
 #include "dandelionmount/request/dispatcher.h"
 #include "dandelionmount/request/executor.h"
@@ -39,16 +39,8 @@
     boost::asio::awaitable<void> stop();
 
 private:
-    void compare_configuration_version(const std::string& host, std::uint64_t version);
-    boost::asio::awaitable<void> fetch_configuration(std::string host);
-    void record_freshness(steady_time as_of);
-    [[nodiscard]] bool has_compared_versions(steady_time since) const;
+    void apply_configuration(std::string_view text);
     [[nodiscard]] bool is_any_host_connected() const;
-    [[nodiscard]] bool is_up_to_date_with_hosts() const;
-    /// When this process started, or learnt that the store came back from an older copy.
-    [[nodiscard]] steady_time trust_began_at() const;
-    void apply_configuration(std::span<const keyed_record> records);
-    void apply_configuration_text(std::string_view text);
     void handle_registry_change();
     [[nodiscard]] topic_peers make_topic_peers(std::string topic, duration end_validity);
     void handle_frame(const wire::peer_frame& frame, const peer_id& from,
@@ -71,16 +63,6 @@
     store_settings settings_;
     platform_adapter adapter_;
     const time_source& time_;
-    /// When this process started, and when it last compared its version of the configuration with another
-    /// host's. Both count suspensions.
-    steady_time started_at_;
-    std::optional<steady_time> versions_compared_at_;
-    /// Latest version of the configuration that another host has reported, and since when it is known.
-    std::uint64_t latest_version_elsewhere_{0};
-    steady_time outdated_since_;
-    /// When the configuration was last recorded as fresh.
-    std::optional<steady_time> fresh_recorded_at_;
-    bool is_fetching_configuration_{false};
     std::mt19937_64 random_;
     metrics counters_;
     peer_identity identity_;
@@ -97,7 +79,7 @@
     outlier_detector outlier_detector_;
     fleet_limiter limiter_;
     fleet_registry registry_;
-    topic_follower configuration_follower_;
+    configuration_source configuration_source_;
     peer_server peer_server_;
     caller_server caller_server_;
     http_server readiness_server_;
