Let the earlier of two fleet secrets win after a return from an older copy

Seen: in a random order of faults the fleet is split for good: a host that starts in the new era, before the others have written the lost secret again, proposes one of its own, and nobody corrects it.

Cause: any secret that was read counted as the fleet's, and a host kept the first one that it read. The first secret is final within an era only.

Change: a secret names the era in which it was proposed; that of the earliest era wins, hosts that know it write it again, and a host with a later one replaces it. A record is also written again if the store acknowledged it in an era that was over when the answer came.

--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <charconv>
 #include <set>
 
 namespace dandelionmount {
@@ -42,11 +43,29 @@
 constexpr int max_leave_attempts = 2;
 // Time in which a living host notices that the store has lost its record and writes it again, with retries.
 constexpr duration missing_record_limit = std::chrono::seconds(6);
+constexpr char era_separator = ':';
 
 std::string key_of_host(std::string_view host) {
     return std::string(host_prefix) + std::string(host);
 }
 
+std::string make_secret(std::uint64_t era) {
+    return std::to_string(era) + era_separator + to_hex(random_bytes(secret_bytes));
+}
+
+// Era in which a secret was proposed; 0 for a secret that does not name one.
+std::uint64_t era_of_secret(std::string_view secret) {
+    std::uint64_t era = 0;
+    const auto parsed = std::from_chars(secret.data(), secret.data() + secret.size(), era);
+    const bool names_era = parsed.ec == std::errc() && parsed.ptr != secret.data() + secret.size() &&
+                           *parsed.ptr == era_separator;
+    return names_era ? era : 0;
+}
+
+bool precedes(const std::string& left, const std::string& right) {
+    return std::pair(era_of_secret(left), left) < std::pair(era_of_secret(right), right);
+}
+
 } // namespace
 
 fleet_registry::fleet_registry(fleet_registry_context context)
@@ -74,27 +93,32 @@
 }
 
 void fleet_registry::apply_records(std::span<const keyed_record> records, bool is_snapshot) {
+    const bool is_older_copy = is_snapshot && snapshot_era_ && follower_.era() != *snapshot_era_;
     std::set<std::string, std::less<>> keys;
     for (const auto& record : records) {
         apply_record(record, is_snapshot);
         keys.insert(record.key);
     }
     if (is_snapshot) {
-        apply_snapshot_gaps(keys);
+        snapshot_era_ = follower_.era();
+        apply_snapshot_gaps(keys, is_older_copy);
     }
     if (secret_.empty() && !is_proposing_) {
         is_proposing_ = true;
         asio::co_spawn(context_.executor, propose_secret(), asio::detached);
     }
+    // Every host knows what the store has lost; the few that read the store for the others write it.
+    if (is_secret_missing_ && !is_restoring_ && context_.peers.reads_store()) {
+        is_restoring_ = true;
+        asio::co_spawn(context_.executor, restore_records(), asio::detached);
+    }
     publish();
     context_.on_change();
 }
 
 // A snapshot lacks the hosts that have left. After the store came back from an older copy it also lacks those
 // that have joined since, which write their records again.
-void fleet_registry::apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys) {
-    const bool is_older_copy = snapshot_era_ && follower_.era() != *snapshot_era_;
-    snapshot_era_ = follower_.era();
+void fleet_registry::apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys, bool is_older_copy) {
     std::vector<std::string> gone;
     for (const auto& [host, member] : context_.members.others) {
         if (!keys.contains(key_of_host(host))) {
@@ -103,7 +127,7 @@
     }
     for (const auto& host : gone) {
         if (is_older_copy) {
-            missing_since_.try_emplace(host, context_.time.now());
+            missing_since_.insert_or_assign(host, context_.time.now());
         } else {
             erase_record(context_.members, host);
         }
@@ -111,19 +135,15 @@
     if (!keys.contains(key_of_host(context_.members.self.host()))) {
         stored_own_record_.clear();
     }
-    const bool lacks_secret = !secret_.empty() && !keys.contains(secret_key);
-    secret_is_missing_ = lacks_secret;
-    // Every host knows the secret; the few that read the store for the others write it.
-    if (lacks_secret && !is_proposing_ && context_.peers.reads_store()) {
-        is_proposing_ = true;
-        asio::co_spawn(context_.executor, restore_secret(), asio::detached);
+    if (!keys.contains(secret_key)) {
+        is_secret_missing_ = !secret_.empty();
     }
     if (is_older_copy) {
         log_event(log_level::info, "host records read from an older copy of the store",
                   {{"era", std::to_string(*snapshot_era_)},
                    {"missing_hosts", std::to_string(gone.size())},
                    {"own_record_missing", stored_own_record_.empty() ? "yes" : "no"},
-                   {"secret_missing", lacks_secret ? "yes" : "no"}});
+                   {"secret_missing", is_secret_missing_ ? "yes" : "no"}});
     }
 }
 
@@ -141,12 +161,7 @@
 
 void fleet_registry::apply_record(const keyed_record& record, bool is_snapshot) {
     if (record.key == secret_key) {
-        secret_is_missing_ = false;
-        // The first secret is final: a later one would split the fleet.
-        if (secret_.empty() && record.value) {
-            secret_ = *record.value;
-            log_event(log_level::info, "fleet secret received");
-        }
+        apply_secret(record.value.value_or(""));
         return;
     }
     if (!record.key.starts_with(host_prefix)) {
@@ -190,13 +205,27 @@
     }
 }
 
+// An era has one proposed secret at most. After a return from a copy without one, a host that starts may have
+// proposed another: the secret of the earliest era is final, and the hosts that know it write it again.
+void fleet_registry::apply_secret(const std::string& secret) {
+    if (!secret_.empty() && precedes(secret_, secret)) {
+        is_secret_missing_ = true;
+        return;
+    }
+    is_secret_missing_ = false;
+    if (secret != secret_ && !secret.empty()) {
+        log_event(log_level::info, secret_.empty() ? "fleet secret received" : "fleet secret replaced");
+        secret_ = secret;
+    }
+}
+
 // Every host that finds no secret proposes a random one. The append is conditional on the offset, so the
 // store accepts only the first.
 asio::awaitable<void> fleet_registry::propose_secret() {
     std::uniform_real_distribution<double> draw(0, to_seconds(secret_proposal_spread));
     co_await sleep_for(context_.executor, from_seconds(draw(context_.random)));
     while (secret_.empty() && !is_leaving_) {
-        keyed_record record{std::string(secret_key), to_hex(random_bytes(secret_bytes))};
+        keyed_record record{std::string(secret_key), make_secret(follower_.era())};
         context_.counters.count_store_call(store_call::secret);
         const auto appended = co_await context_.store.append(context_.topic, record, follower_.next());
         if (!appended) {
@@ -208,22 +237,25 @@
     is_proposing_ = false;
 }
 
-// Until the secret is back, a host that starts could propose another one, which the others would not accept.
-asio::awaitable<void> fleet_registry::restore_secret() {
+// Until the secret is back, a host that starts could propose another one.
+asio::awaitable<void> fleet_registry::restore_records() {
     std::uniform_real_distribution<double> draw(0, to_seconds(secret_proposal_spread));
     co_await sleep_for(context_.executor, from_seconds(draw(context_.random)));
-    while (secret_is_missing_ && !is_leaving_) {
-        context_.counters.count_store_call(store_call::secret);
+    while (!is_leaving_ && is_secret_missing_) {
         keyed_record record{std::string(secret_key), secret_};
-        const auto appended = co_await context_.store.append(context_.topic, record, std::nullopt);
-        if (appended) {
-            break;
-        }
-        log_event(log_level::warning, "fleet secret could not be written again",
-                  {{"cause", appended.error().message}});
+        co_await restore(std::move(record), store_call::secret);
+        // Until the records have been read.
         co_await sleep_for(context_.executor, secret_read_timeout);
     }
-    is_proposing_ = false;
+    is_restoring_ = false;
+}
+
+asio::awaitable<void> fleet_registry::restore(keyed_record record, store_call cause) {
+    const std::string key = record.key;
+    context_.counters.count_store_call(cause);
+    const auto appended = co_await context_.store.append(context_.topic, std::move(record), std::nullopt);
+    log_event(log_level::info, "lost record written again",
+              {{"key", key}, {"outcome", appended ? "written" : appended.error().message}});
 }
 
 void fleet_registry::publish() {
@@ -247,11 +279,15 @@
         const std::string text = write_host_record(context_.members.self);
         keyed_record record{key_of_host(context_.members.self.host()), text};
         context_.counters.count_store_call(store_call::own_record);
+        const auto era = follower_.era();
         const auto appended = co_await context_.store.append(context_.topic, std::move(record), std::nullopt);
         if (appended) {
             acknowledged_records_.insert(text);
-            stored_own_record_ = text;
             backoff = min_write_backoff;
+            // The store may have lost a record that it acknowledged in an earlier era.
+            if (follower_.era() == era) {
+                stored_own_record_ = text;
+            }
             continue;
         }
         unanswered_records_.insert(text);
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -53,11 +53,13 @@
     void apply_records(std::span<const keyed_record> records, bool is_snapshot);
     void apply_record(const keyed_record& record, bool is_snapshot);
     void apply_own_record(const std::string& text, bool is_snapshot);
-    void apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys);
+    void apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys, bool is_older_copy);
+    void apply_secret(const std::string& secret);
     void remove_missing_hosts();
     [[nodiscard]] duration batch_delay() const;
     boost::asio::awaitable<void> propose_secret();
-    boost::asio::awaitable<void> restore_secret();
+    boost::asio::awaitable<void> restore_records();
+    boost::asio::awaitable<void> restore(keyed_record record, store_call cause);
     boost::asio::awaitable<void> write_own_record();
 
     fleet_registry_context context_;
@@ -65,7 +67,7 @@
     topic_follower follower_;
     std::string secret_;
     /// Whether the store has lost the secret.
-    bool secret_is_missing_{false};
+    bool is_secret_missing_{false};
     /// This host's record as last acknowledged by the store or read from it.
     std::string stored_own_record_;
     /// Records written by this process: those that the store acknowledged, and those whose answer was lost.
@@ -77,6 +79,7 @@
     std::map<std::string, steady_time, std::less<>> missing_since_;
     bool is_writing_{false};
     bool is_proposing_{false};
+    bool is_restoring_{false};
     bool is_leaving_{false};
     bool has_left_{false};
 };
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -229,8 +229,8 @@
 }
 
 void store_node::handle_registry_change() {
+    identity_.secret = registry_.secret();
     if (!registry_.secret().empty() && !peer_server_open_ && !stopping_) {
-        identity_.secret = registry_.secret();
         const auto opened = peer_server_.listen(settings_.peer_address);
         peer_server_open_ = opened.has_value();
         if (!opened) {
--- a/tests/process/fleet_registry_test.cpp
+++ b/tests/process/fleet_registry_test.cpp
@@ -178,4 +178,22 @@
     CHECK_FALSE(host.members.others.contains("gone"));
 }
 
+// Guards against a fleet that is split for good, as a host that started with a copy without the secret has
+// proposed another one.
+TEST_CASE("The earlier of two secrets wins when the store comes back from a copy without one") {
+    registry_fixture fixture;
+    const auto empty = fixture.store.take_copy();
+    const registry_host first(fixture.io, fixture.store, "a");
+    fixture.run(1500);
+    const std::string secret = first.registry.secret();
+    fixture.store.restore(empty);
+    // A later era's proposal that arrives before the first host has written the secret again.
+    fixture.store.put("secret", "2:0");
+    const registry_host second(fixture.io, fixture.store, "b");
+    fixture.run(2500);
+    CHECK(first.registry.secret() == secret);
+    CHECK(second.registry.secret() == secret);
+    CHECK(fixture.store.values["secret"] == secret);
+}
+
 TEST_SUITE_END();
