Keep hosts that have left away when the store comes back from a copy that lists them

Seen: a test with a store whose copy is older than the removal of a host. The host is listed again on all hosts, until one of them finds it unreachable for 20 s; requests are sent to it meanwhile.

Change: removals of the last minute are remembered. A host that lives writes its record again, as it does when it is removed by mistake.

--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -43,6 +43,8 @@
 constexpr int max_leave_attempts = 2;
 // Time in which a living host notices that the store has lost its record and writes it again, with retries.
 constexpr duration missing_record_limit = std::chrono::seconds(6);
+// A copy that the store comes back from is seconds old; removals before it need not be remembered.
+constexpr duration removal_retention = std::chrono::minutes(1);
 constexpr char era_separator = ':';
 
 std::string key_of_host(std::string_view host) {
@@ -96,6 +98,10 @@
     const bool is_older_copy = is_snapshot && snapshot_era_ && follower_.era() != *snapshot_era_;
     std::set<std::string, std::less<>> keys;
     for (const auto& record : records) {
+        if (is_of_removed_host(record, is_snapshot, is_older_copy)) {
+            removals_to_restore_.insert(record.key);
+            continue;
+        }
         apply_record(record, is_snapshot);
         keys.insert(record.key);
     }
@@ -108,7 +114,8 @@
         asio::co_spawn(context_.executor, propose_secret(), asio::detached);
     }
     // Every host knows what the store has lost; the few that read the store for the others write it.
-    if (is_secret_missing_ && !is_restoring_ && context_.peers.reads_store()) {
+    const bool lacks_records = is_secret_missing_ || !removals_to_restore_.empty();
+    if (lacks_records && !is_restoring_ && context_.peers.reads_store()) {
         is_restoring_ = true;
         asio::co_spawn(context_.executor, restore_records(), asio::detached);
     }
@@ -116,6 +123,16 @@
     context_.on_change();
 }
 
+// A copy of the store that is older than the removal of a host brings its record back. The host is gone,
+// unless it writes its record again.
+bool fleet_registry::is_of_removed_host(const keyed_record& record, bool is_snapshot,
+                                        bool is_older_copy) const {
+    if (!is_snapshot || !record.value) {
+        return false;
+    }
+    return is_older_copy ? removed_at_.contains(record.key) : removals_to_restore_.contains(record.key);
+}
+
 // A snapshot lacks the hosts that have left. After the store came back from an older copy it also lacks those
 // that have joined since, which write their records again.
 void fleet_registry::apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys, bool is_older_copy) {
@@ -129,7 +146,7 @@
         if (is_older_copy) {
             missing_since_.insert_or_assign(host, context_.time.now());
         } else {
-            erase_record(context_.members, host);
+            record_removal(host);
         }
     }
     if (!keys.contains(key_of_host(context_.members.self.host()))) {
@@ -142,17 +159,25 @@
         log_event(log_level::info, "host records read from an older copy of the store",
                   {{"era", std::to_string(*snapshot_era_)},
                    {"missing_hosts", std::to_string(gone.size())},
+                   {"returned_hosts", std::to_string(removals_to_restore_.size())},
                    {"own_record_missing", stored_own_record_.empty() ? "yes" : "no"},
                    {"secret_missing", is_secret_missing_ ? "yes" : "no"}});
     }
 }
 
+void fleet_registry::record_removal(const std::string& host) {
+    const auto now = context_.time.now();
+    std::erase_if(removed_at_, [now](const auto& entry) { return now - entry.second >= removal_retention; });
+    removed_at_[key_of_host(host)] = now;
+    erase_record(context_.members, host);
+}
+
 void fleet_registry::remove_missing_hosts() {
     const auto now = context_.time.now();
     for (const auto& [host, since] : missing_since_) {
         if (now - since >= missing_record_limit) {
             log_event(log_level::info, "host record not written again", {{"host", host}});
-            erase_record(context_.members, host);
+            record_removal(host);
         }
     }
     std::erase_if(missing_since_,
@@ -173,11 +198,13 @@
         return;
     }
     missing_since_.erase(host);
+    removals_to_restore_.erase(record.key);
     if (!record.value) {
         log_event(log_level::info, "host record removed", {{"host", host}});
-        erase_record(context_.members, host);
+        record_removal(host);
         return;
     }
+    removed_at_.erase(record.key);
     auto member = read_host_record(host, *record.value);
     if (!member) {
         log_event(log_level::warning, "malformed host record", {{"host", host}});
@@ -237,13 +264,23 @@
     is_proposing_ = false;
 }
 
-// Until the secret is back, a host that starts could propose another one.
+// Until the secret is back, a host that starts could propose another one; until a removal is back, it lists a
+// host that is gone.
 asio::awaitable<void> fleet_registry::restore_records() {
     std::uniform_real_distribution<double> draw(0, to_seconds(secret_proposal_spread));
     co_await sleep_for(context_.executor, from_seconds(draw(context_.random)));
-    while (!is_leaving_ && is_secret_missing_) {
-        keyed_record record{std::string(secret_key), secret_};
-        co_await restore(std::move(record), store_call::secret);
+    while (!is_leaving_ && (is_secret_missing_ || !removals_to_restore_.empty())) {
+        if (is_secret_missing_) {
+            keyed_record record{std::string(secret_key), secret_};
+            co_await restore(std::move(record), store_call::secret);
+        }
+        const auto removals = removals_to_restore_;
+        for (const auto& key : removals) {
+            if (removals_to_restore_.contains(key)) {
+                keyed_record record{key, std::nullopt};
+                co_await restore(std::move(record), store_call::removal);
+            }
+        }
         // Until the records have been read.
         co_await sleep_for(context_.executor, secret_read_timeout);
     }
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -55,6 +55,9 @@
     void apply_own_record(const std::string& text, bool is_snapshot);
     void apply_snapshot_gaps(const std::set<std::string, std::less<>>& keys, bool is_older_copy);
     void apply_secret(const std::string& secret);
+    [[nodiscard]] bool is_of_removed_host(const keyed_record& record, bool is_snapshot,
+                                          bool is_older_copy) const;
+    void record_removal(const std::string& host);
     void remove_missing_hosts();
     [[nodiscard]] duration batch_delay() const;
     boost::asio::awaitable<void> propose_secret();
@@ -68,6 +71,10 @@
     std::string secret_;
     /// Whether the store has lost the secret.
     bool is_secret_missing_{false};
+    /// When hosts were removed, by the keys of their records; and those whose records are back with an older
+    /// copy of the store.
+    std::map<std::string, steady_time, std::less<>> removed_at_;
+    std::set<std::string, std::less<>> removals_to_restore_;
     /// This host's record as last acknowledged by the store or read from it.
     std::string stored_own_record_;
     /// Records written by this process: those that the store acknowledged, and those whose answer was lost.
--- a/tests/process/fleet_registry_test.cpp
+++ b/tests/process/fleet_registry_test.cpp
@@ -178,6 +178,30 @@
     CHECK_FALSE(host.members.others.contains("gone"));
 }
 
+// Guards against a host that has left and is listed again, as the store came back from a copy that has it.
+TEST_CASE("A host that has left stays away when the store comes back from a copy that lists it") {
+    registry_fixture fixture;
+    fixture.store.put("secret", "1");
+    registry_host host(fixture.io, fixture.store, "a");
+    fixture.store.put("host/gone", dm::write_host_record(make_record("gone")));
+    fixture.run(1500);
+    REQUIRE(host.members.others.contains("gone"));
+    const auto with_host = fixture.store.take_copy();
+    fixture.store.remove("host/gone");
+    fixture.run(1500);
+    REQUIRE_FALSE(host.members.others.contains("gone"));
+    fixture.store.restore(with_host);
+    for (int round = 0; round < 20; ++round) {
+        fixture.run(100);
+        CHECK_FALSE(host.members.others.contains("gone"));
+    }
+    // The removal was written again, so that hosts that start do not list it either.
+    CHECK_FALSE(fixture.store.values.contains("host/gone"));
+    fixture.store.put("host/gone", dm::write_host_record(make_record("gone")));
+    fixture.run(1500);
+    CHECK(host.members.others.contains("gone"));
+}
+
 // Guards against a fleet that is split for good, as a host that started with a copy without the secret has
 // proposed another one.
 TEST_CASE("The earlier of two secrets wins when the store comes back from a copy without one") {
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -60,7 +60,11 @@
         if (at && *at != end()) {
             co_return dandelionmount::append_outcome::condition_failed;
         }
-        put(record.key, record.value.value_or(""));
+        if (record.value) {
+            put(record.key, *record.value);
+        } else {
+            remove(record.key);
+        }
         if (loses_answers) {
             co_return dandelionmount::failure{"no answer"};
         }
@@ -72,6 +76,11 @@
         log.push_back({key, value});
     }
 
+    void remove(const std::string& key) {
+        values.erase(key);
+        log.push_back({key, std::nullopt});
+    }
+
     void trim() {
         first = end();
         log.clear();
