--- a/src/dandelionmount/process/topic_follower.cpp
+++ b/src/dandelionmount/process/topic_follower.cpp
@@ -56,12 +56,16 @@
     handlers_.caught_up(as_of);
 }
 
-void topic_follower::apply_peer_end(std::string_view host, const topic_end& end) {
-    if (has_read_ && end.era > era_) {
-        begin_era(end.era);
+void topic_follower::apply_era(std::uint64_t era) {
+    if (has_read_ && era > era_) {
+        begin_era(era);
         waits_for_turn_ = true;
         wake_up_.set();
     }
+}
+
+void topic_follower::apply_peer_end(std::string_view host, const topic_end& end) {
+    apply_era(end.era);
     // Offsets of different eras can't be compared.
     if (needs_snapshot_ || end.era != era_) {
         return;
@@ -158,6 +162,9 @@
     recent_records_.clear();
     peers_end_ = 0;
     furthest_peer_.clear();
+    if (era_action_) {
+        era_action_(era);
+    }
 }
 
 asio::awaitable<void> topic_follower::wait_for_turn() {
--- a/src/dandelionmount/process/topic_follower.h
+++ b/src/dandelionmount/process/topic_follower.h
@@ -72,6 +72,10 @@
     [[nodiscard]] const std::string& topic() const { return context_.topic; }
     /// The end of the topic as last known to this host; nullopt until the topic was read to its end.
     [[nodiscard]] std::optional<topic_end> known_end() const;
+    /// Reads the topic anew if this era of the store is later than the known one.
+    void apply_era(std::uint64_t era);
+    /// Sets the action to run when the store has come back from an older copy, with its new era.
+    void on_later_era(std::function<void(std::uint64_t era)> action) { era_action_ = std::move(action); }
     /// Applies the end of the topic that another host reported.
     void apply_peer_end(std::string_view host, const topic_end& end);
     /// Records from an offset of an era on, for another host; nullopt when some of them are no longer kept,
@@ -105,6 +109,7 @@
 
     topic_follower_context context_;
     topic_handlers handlers_;
+    std::function<void(std::uint64_t)> era_action_;
     /// Whether the store has answered, so that `era_` is known.
     bool has_read_{false};
     std::uint64_t era_{0};
--- a/src/dandelionmount/process/topic_sharing.cpp
+++ b/src/dandelionmount/process/topic_sharing.cpp
@@ -25,6 +25,16 @@
     return found == followers_.end() ? nullptr : *found;
 }
 
+// One topic may learn that the store came back from an older copy long before the next read of another.
+void topic_sharing::add(topic_follower& follower) {
+    followers_.push_back(&follower);
+    follower.on_later_era([this](std::uint64_t era) {
+        for (auto* other : followers_) {
+            other->apply_era(era);
+        }
+    });
+}
+
 void topic_sharing::write_topic_ends(wire::rate_grants& grants) const {
     const auto now = time_.now_with_suspension();
     for (const auto* follower : followers_) {
--- a/src/dandelionmount/process/topic_sharing.h
+++ b/src/dandelionmount/process/topic_sharing.h
@@ -22,7 +22,7 @@
     topic_sharing(const time_source& time, peer_directory& peers) : time_(time), peers_(peers) {}
 
     /// Adds a topic. Its follower must outlive all calls.
-    void add(topic_follower& follower) { followers_.push_back(&follower); }
+    void add(topic_follower& follower);
     /// Adds the topic ends known to this host to an answer.
     void write_topic_ends(wire::rate_grants& grants) const;
     /// Applies the topic ends of an answer to a request sent at `sent_at`, a time that counts suspensions.
