Handle all frames that have arrived before a request starts

Seen: a test that writes a request and its cancellation to a connection between hosts at once; the target got the request, as a host that is late read one frame, started the run and read the cancellation after it.

Cause: frames were read one by one, two system calls each, and a run started within the handling of its frame.

--- a/src/dandelionmount/connection/frame_stream.h
+++ b/src/dandelionmount/connection/frame_stream.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,7 +32,8 @@
 public:
     explicit frame_stream(boost::asio::ip::tcp::socket socket);
 
-    /// Reads the next frame. Fails when the connection ends or the bytes are not a valid frame.
+    /// Reads the next frame. Fails when the connection ends or the bytes are not a valid frame. Returns
+    /// without suspending while frames that were received together are left.
     boost::asio::awaitable<result<wire::peer_frame>> read(std::size_t max_bytes);
     /// Queues a frame; drops it when the connection is closed. Closes the connection when the peer reads too
     /// slowly and too many bytes are queued.
@@ -46,9 +48,18 @@
     [[nodiscard]] bool was_malformed() const { return malformed_; }
 
 private:
+    [[nodiscard]] std::optional<result<wire::peer_frame>> take_received(std::size_t max_bytes);
+    boost::asio::awaitable<boost::system::error_code> receive();
     void write_queued();
 
     boost::asio::ip::tcp::socket socket_;
+    /// Received bytes; those before `taken_` have been returned as frames.
+    std::string received_;
+    std::size_t taken_{0};
+    /// Bytes to request with the next read, following the amount that recent reads returned.
+    std::size_t read_size_;
+    /// Bytes of the frame that is being received, its length prefix included; 0 while that is unknown.
+    std::size_t frame_bytes_{0};
     std::string queued_;
     std::string writing_;
     bool malformed_{false};
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <vector>
 
 namespace dandelionmount {
@@ -104,7 +105,10 @@
         return;
     }
     active_[request.id()] = attempt;
-    asio::co_spawn(context_.executor, run_and_reply(attempt), asio::detached);
+    // Frames that were received together may hold a cancellation of this request, so they are handled first.
+    asio::post(context_.executor, [this, attempt] {
+        asio::co_spawn(context_.executor, run_and_reply(attempt), asio::detached);
+    });
 }
 
 asio::awaitable<wire::forward_reply> executor::run_local(wire::forward_request request, steady_time deadline,
@@ -180,6 +184,9 @@
     if (draining_) {
         co_return make_refusal(*attempt, reason::host_stopping);
     }
+    if (attempt->cancel->requested()) {
+        co_return make_refusal(*attempt, reason::caller_gone);
+    }
     const reason refused = check_request(*attempt);
     if (refused != reason::none) {
         co_return make_refusal(*attempt, refused);
--- a/tests/connection/frame_stream_test.cpp
+++ b/tests/connection/frame_stream_test.cpp
@@ -2,10 +2,18 @@
 
 #include "tests/support/seed.h"
 
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <random>
+#include <vector>
 
 namespace dm = dandelionmount;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -18,6 +26,45 @@
     return frame;
 }
 
+// Both ends of a connection; the bytes that one writes are read as frames at the other.
+struct stream_fixture {
+    stream_fixture() {
+        asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+        writer.connect(acceptor.local_endpoint());
+        stream = std::make_shared<dm::frame_stream>(acceptor.accept());
+        asio::co_spawn(
+            io,
+            [this]() -> asio::awaitable<void> {
+                while (true) {
+                    auto frame = co_await stream->read(dm::max_frame_bytes);
+                    if (!frame) {
+                        has_ended = true;
+                        co_return;
+                    }
+                    frames.push_back(std::move(frame.value()));
+                }
+            },
+            asio::detached);
+    }
+
+    ~stream_fixture() {
+        stream->close();
+        io.run_for(milliseconds(20));
+    }
+
+    void write(std::string_view bytes) {
+        asio::async_write(writer, asio::buffer(bytes), [](const boost::system::error_code&, std::size_t) {});
+        io.restart();
+        io.run_for(milliseconds(5));
+    }
+
+    asio::io_context io{1};
+    asio::ip::tcp::socket writer{io};
+    std::shared_ptr<dm::frame_stream> stream;
+    std::vector<dm::wire::peer_frame> frames;
+    bool has_ended{false};
+};
+
 } // namespace
 
 TEST_SUITE_BEGIN("connection");
@@ -43,6 +90,46 @@
     CHECK(frame.value().forward_request().headers(0).value() == "caf\xE9 \xFF\xFE");
 }
 
+TEST_CASE("Frames are read whole however their bytes are split") {
+    const auto range = tests::seeds(20);
+    for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        std::string bytes;
+        std::vector<std::size_t> sizes;
+        for (int number = 0; number < 30; ++number) {
+            auto frame = make_frame();
+            constexpr std::array<std::size_t, 5> magnitudes{1, 100, 1500, 70000, 300000};
+            sizes.push_back(1 + random() % magnitudes.at(random() % magnitudes.size()));
+            frame.mutable_forward_request()->set_body(std::string(sizes.back(), 'y'));
+            bytes += dm::encode_frame(frame);
+        }
+        stream_fixture fixture;
+        for (std::size_t at = 0; at < bytes.size();) {
+            const std::size_t count = 1 + random() % (random() % 2 == 0 ? 20 : 200000);
+            fixture.write(std::string_view(bytes).substr(at, count));
+            at += count;
+        }
+        fixture.io.restart();
+        fixture.io.run_for(milliseconds(20));
+        REQUIRE(fixture.frames.size() == sizes.size());
+        for (std::size_t number = 0; number < sizes.size(); ++number) {
+            CHECK(fixture.frames[number].forward_request().body() == std::string(sizes[number], 'y'));
+        }
+        CHECK_FALSE(fixture.has_ended);
+    }
+}
+
+TEST_CASE("Frames that were received before the connection ended are read") {
+    stream_fixture fixture;
+    const std::string bytes = dm::encode_frame(make_frame());
+    asio::write(fixture.writer, asio::buffer(bytes + bytes + bytes.substr(0, 20)));
+    fixture.writer.close();
+    fixture.io.run_for(milliseconds(50));
+    CHECK(fixture.frames.size() == 2);
+    CHECK(fixture.has_ended);
+}
+
 TEST_CASE("Zero, oversized and incomplete frame lengths are rejected") {
     CHECK_FALSE(dm::decode_frame_length(std::string(4, '\0'), 100));
     CHECK_FALSE(dm::decode_frame_length(std::string("\0\0\0\x65", 4), 100));
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -1,7 +1,9 @@
 #include "dandelionmount/connection/peer_link.h"
 
+#include "dandelionmount/connection/address.h"
 #include "dandelionmount/connection/http_server.h"
 #include "dandelionmount/connection/listen.h"
+#include "dandelionmount/connection/peer_handshake.h"
 #include "dandelionmount/connection/peer_server.h"
 #include "dandelionmount/process/peer_directory.h"
 #include "dandelionmount/request/executor.h"
@@ -193,6 +195,14 @@
             asio::detached);
     }
 
+    bool run_until_ended(const std::string& id, dm::duration limit) {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        while (!outcomes.contains(id) && std::chrono::steady_clock::now() < until) {
+            io.run_for(milliseconds(5));
+        }
+        return outcomes.contains(id);
+    }
+
     // Runs until the target notices that the request was cancelled, at most for the time; returns whether it
     // did.
     bool run_until_broken_off(const std::string& id, dm::duration limit) {
@@ -448,6 +458,50 @@
     }
 }
 
+// Guards against requests that reach a target long after their callers have left: a host that is late started
+// a request and read its cancellation after it. The target has an idle connection, so a run would start at
+// once.
+TEST_CASE("A request does not run if its cancellation was received with it") {
+    link_fixture fixture(1, true);
+    fixture.min_run_time = dm::duration{0};
+    fixture.start_cancellable("first", true, std::make_shared<dm::cancel_token>());
+    REQUIRE(fixture.run_until_ended("first", std::chrono::seconds(1)));
+    asio::ip::tcp::socket socket(fixture.io);
+    const auto address = dm::parse_address(host_address).value();
+    socket.connect({address.ip, address.port});
+    const auto stream = std::make_shared<dm::frame_stream>(std::move(socket));
+    std::optional<wire::forward_reply> reply;
+    asio::co_spawn(
+        fixture.io,
+        [&]() -> asio::awaitable<void> {
+            const auto receiver = co_await dm::connect_handshake(*stream, fixture.sender);
+            wire::peer_frame request;
+            request.mutable_forward_request()->set_id("left");
+            request.mutable_forward_request()->set_attempt(1);
+            request.mutable_forward_request()->set_open(true);
+            request.mutable_forward_request()->set_service("store");
+            request.mutable_forward_request()->set_method("GET");
+            request.mutable_forward_request()->set_path("/x");
+            request.mutable_forward_request()->set_idempotent(true);
+            request.mutable_forward_request()->set_remaining_ms(5000);
+            wire::peer_frame cancel;
+            cancel.mutable_cancel_request()->set_id("left");
+            cancel.mutable_cancel_request()->set_attempt(1);
+            stream->send_with_next(request);
+            stream->send(cancel);
+            const auto frame = co_await stream->read(dm::max_frame_bytes);
+            if (receiver && frame) {
+                reply = frame.value().forward_reply();
+            }
+        },
+        asio::detached);
+    fixture.io.run_for(milliseconds(200));
+    CHECK(fixture.runs["left"] == 0);
+    REQUIRE(reply);
+    CHECK(reply->outcome() == wire::not_run);
+    stream->close();
+}
+
 // Guards against replies that are lost when the record store reports that their host has left: callers got
 // 502 for requests that had run.
 TEST_CASE("A request running on a host that is removed from the member list still gets its reply") {
