Remember across a restart which process of the target has left

Seen: in a test, a target that had left is in use again when the process of its host is killed and restarted, and an announcement that was delayed on the way arrives after that (an announcement may be seconds late).

Cause: that a process of the target had left was kept in memory only. The host record in the store said 'draining' or 'none', which a stopping host writes as well.

Change: the host record names the newest process of the target that has said that it is leaving or has left; a process that starts reads it. Other hosts learn it with load reports, now also when the target announced it.

Not covered: a planned stop removes the record, and what it names with it.

--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -225,6 +225,12 @@
 // effect late. A snapshot has only the newest record, which may be an earlier one of this process again when
 // the store came back from an older copy.
 void fleet_registry::apply_own_record(const std::string& text, bool is_snapshot) {
+    const bool is_of_this_process =
+        acknowledged_records_.contains(text) || unanswered_records_.contains(text);
+    const auto earlier = read_host_record(context_.members.self.host(), text);
+    if (!is_of_this_process && earlier) {
+        context_.on_earlier_record(*earlier);
+    }
     const bool is_replaced =
         !is_snapshot && acknowledged_records_.contains(text) && !unanswered_records_.contains(text);
     if (!is_replaced || text == write_host_record(context_.members.self)) {
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -24,6 +24,8 @@
     std::string topic;
     /// Called when the secret becomes known and after each change of the members.
     std::function<void()> on_change;
+    /// Called with this host's own record that an earlier process has left in the store.
+    std::function<void(const wire::member_record&)> on_earlier_record;
     topic_peers peers;
 };
 
--- a/src/dandelionmount/process/local_target.cpp
+++ b/src/dandelionmount/process/local_target.cpp
@@ -69,6 +69,9 @@
         timeout_trial_ = timeout_trial{};
         rejection_trial_ = rejection_trial{};
     }
+    if (announced_.state == wire::target_draining) {
+        leaving_incarnation_ = incarnation();
+    }
     set_ceiling(limiter_, switches_.guard ? usable_slots(announcement.slots) : unlimited_slots);
     if (changed && action_) {
         action_();
@@ -80,6 +83,7 @@
     if (heartbeat.what == target_heartbeat::kind::departure) {
         if (instance == announced_.instance) {
             departed_process_started_ = latest_order_.first;
+            leaving_incarnation_ = incarnation();
             withdraw();
         } else {
             departed_instance_ = instance;
@@ -134,17 +138,29 @@
         return;
     }
     leaving_incarnation_ = incarnation();
-    log_event(log_level::info, "target says in a response that it is leaving",
-              {{"instance", announced_.instance}, {"state", std::to_string(announced_.state)}});
     if (announced_.state == wire::target_none || announced_.state == wire::target_draining) {
         return;
     }
+    log_event(log_level::info, "target is leaving", {{"instance", announced_.instance}});
     announced_.state = wire::target_draining;
     if (action_) {
         action_();
     }
 }
 
+void local_target::restore_leaving(std::uint64_t incarnation) {
+    if (leaving_incarnation_ != 0) {
+        return;
+    }
+    leaving_incarnation_ = incarnation;
+    if (announced_.state != wire::target_none && incarnation == this->incarnation()) {
+        announced_.state = wire::target_draining;
+    }
+    if (action_) {
+        action_();
+    }
+}
+
 void local_target::withdraw() {
     if (announced_.state == wire::target_none) {
         return;
--- a/src/dandelionmount/process/local_target.h
+++ b/src/dandelionmount/process/local_target.h
@@ -63,6 +63,11 @@
     void adopt_rate_limit(double per_second);
     /// Marks the current process of the target as leaving. It stays so, whatever it announces later.
     void mark_leaving();
+    /// Restores what an earlier process of this host knew: the process of the target that had said that it is
+    /// leaving.
+    void restore_leaving(std::uint64_t incarnation);
+    /// The newest process of the target that has said that it is leaving, or has left; 0 if none.
+    [[nodiscard]] std::uint64_t left_incarnation() const { return leaving_incarnation_; }
     /// Removes the announcement, so that the target counts as gone.
     void withdraw();
     /// Withdraws the target if its last announcement has expired.
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -126,6 +126,9 @@
                 }}),
       registry_({io.get_executor(), time, counters_, store, random_, members_, adapter.hosts_topic,
                  [this] { handle_registry_change(); },
+                 [this](const wire::member_record& earlier) {
+                     target_.restore_leaving(earlier.left_incarnation());
+                 },
                  make_topic_peers(adapter.hosts_topic, hosts_end_validity)}),
       configuration_source_({io.get_executor(), time, counters_, store, random_, adapter.configuration_topic,
                              adapter.configuration_key,
@@ -254,6 +257,7 @@
     const auto& announced = target_.announced();
     auto& record = members_.self;
     record.set_incarnation(target_.incarnation());
+    record.set_left_incarnation(target_.left_incarnation());
     if (!announced.service.empty()) {
         record.set_service(announced.service);
     }
--- a/tests/process/fleet_registry_test.cpp
+++ b/tests/process/fleet_registry_test.cpp
@@ -34,6 +34,7 @@
                     members,
                     "hosts",
                     [] {},
+                    [this](const dm::wire::member_record& record) { earlier = record; },
                     {[] { return true; }, {}, {}, {}}}) {
         registry.start();
     }
@@ -42,6 +43,8 @@
     dm::metrics counters;
     std::mt19937_64 random;
     dm::member_table members;
+    /// Own record of an earlier process.
+    std::optional<dm::wire::member_record> earlier;
     dm::fleet_registry registry;
 };
 
@@ -87,6 +90,26 @@
     CHECK(fixture.store.appends == 0);
 }
 
+// Guards against a target that has left and is in use again, as its host was restarted and a delayed
+// announcement of the target arrives after that.
+TEST_CASE("A host that starts again learns from its record which process of its target has left") {
+    registry_fixture fixture;
+    fixture.store.put("secret", "1");
+    auto record = make_record("a");
+    record.set_left_incarnation(7);
+    fixture.store.put("host/a", dm::write_host_record(record));
+    registry_host host(fixture.io, fixture.store, "a");
+    fixture.run(300);
+    REQUIRE(host.earlier);
+    CHECK(host.earlier->left_incarnation() == 7);
+    host.earlier.reset();
+    host.members.self.set_left_incarnation(7);
+    host.members.self.set_target_slots(11);
+    host.registry.publish();
+    fixture.run(1500);
+    CHECK_FALSE(host.earlier);
+}
+
 TEST_CASE("A host writes its record again when it was removed or overwritten") {
     registry_fixture fixture;
     fixture.store.put("secret", "1");
--- a/tests/process/local_target_test.cpp
+++ b/tests/process/local_target_test.cpp
@@ -84,6 +84,34 @@
     CHECK(target.load().leaving_incarnation() == 0);
 }
 
+// Guards against a target that has left and gets requests again, as the process of its host was restarted and
+// a delayed announcement arrives after that.
+TEST_CASE("A process of a target that has left stays out when the process of its host is restarted") {
+    const dm::manual_time_source time;
+    for (const bool says_draining : {true, false}) {
+        dm::local_target before(time);
+        before.handle_heartbeat(announcement("one", 100, 1));
+        if (says_draining) {
+            before.handle_heartbeat(announcement("one", 100, 3, wire::target_draining));
+        } else {
+            before.handle_heartbeat(departure("one"));
+        }
+        for (const bool heartbeat_first : {true, false}) {
+            dm::local_target after(time);
+            if (heartbeat_first) {
+                after.handle_heartbeat(announcement("one", 100, 2));
+            }
+            after.restore_leaving(before.left_incarnation());
+            if (!heartbeat_first) {
+                after.handle_heartbeat(announcement("one", 100, 2));
+            }
+            CHECK_FALSE(after.is_ready_for("store"));
+            after.handle_heartbeat(announcement("one", 200, 1));
+            CHECK(after.is_ready_for("store"));
+        }
+    }
+}
+
 TEST_CASE("An answer of a process that was replaced says nothing about its successor") {
     const dm::manual_time_source time;
     dm::local_target target(time);
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -103,7 +103,8 @@
     std::function<asio::awaitable<dm::result<dm::topic_records>>(std::string host)> fetch_newest,
     std::function<bool()> is_connected)
     : store(io, platform), random(seed), members{make_record(name)}, configuration({}, time),
-      registry({io.get_executor(), time, counters, store, random, members, "hosts", [] {}, peers("hosts")}),
+      registry({io.get_executor(), time, counters, store, random, members, "hosts", [] {},
+                [](const dm::wire::member_record&) {}, peers("hosts")}),
       source(
           {io.get_executor(), time, counters, store, random, "configuration", "document",
            peers("configuration"), configuration,
