Count a queue as full by the time that requests wait in it

From 40 s on the traffic is calm, and still every third request fails. With the processor not charged the same seconds are served whole.

Cause (log of the targets' load, trial): the last target of route-planner runs 272 requests, its limit, and 350 to 540 wait, for seconds on end, as its host has too little processor time for more than 700 a second. The pressure that sheds requests where they enter follows the number of queued requests, and comes to rest at a fifth of a queue of six times the limit: 326 calls, or half a second, beside runs of 0.4 s. The requests of daily-route have 0.8 s, so nearly all of them end too late, after their work was spent. A standing queue, as in a network's buffers.

Change: a queue is also full when requests wait for half of the time that they have left beside their run, so the pressure settles at a tenth of that.

Ruled out: the loss of workers alone (the play without processor charge has the same), delays of the event loop (none of 250 ms).

--- a/src/dandelionmount/process/target_limiter.cpp
+++ b/src/dandelionmount/process/target_limiter.cpp
@@ -27,6 +27,10 @@
 constexpr std::size_t min_queue_limit = 8;
 // Calls may wait longer: refusing one wastes the work of all requests upstream.
 constexpr double call_queue_factor = 6;
+// Share of the time left beside the run that requests wait when their queue counts as full.
+constexpr double max_wait_share = 0.5;
+// At least the time left divided by this counts as spare, however long runs take.
+constexpr int min_spare_divisor = 10;
 
 std::size_t queue_limit(const target_limiter& limiter, bool is_call) {
     const double factor = is_call ? call_queue_factor : queue_factor;
@@ -42,6 +46,23 @@
     return std::max(by_limit, from_seconds(static_cast<double>(ahead) / *limiter.rate.per_second));
 }
 
+// A standing queue in which requests wait for most of the time that they have costs the work of those that
+// end too late, and holds all others up. So a queue is full when it takes a part of the time left beside the
+// run.
+double wait_ratio(const target_limiter& limiter, std::size_t queued, std::optional<duration> time_left) {
+    if (queued == 0 || !time_left) {
+        return 0;
+    }
+    const duration spare = std::max(*time_left - limiter.service_time, *time_left / min_spare_divisor);
+    const double wait = to_seconds(expected_wait(limiter, limiter.queue.size()));
+    return wait / std::max(max_wait_share * to_seconds(spare), min_service_seconds);
+}
+
+void record_time_left(std::optional<duration>& mean, duration left) {
+    const duration before = mean.value_or(left);
+    mean = before + std::chrono::duration_cast<duration>((left - before) * ewma_weight);
+}
+
 arrival_decision refuse(reason why) {
     return {arrival_decision::action::refuse, why, std::nullopt};
 }
@@ -57,7 +78,10 @@
         static_cast<double>(limiter.queue.ingress.size) / static_cast<double>(queue_limit(limiter, false));
     const double calls =
         static_cast<double>(limiter.queue.calls.size) / static_cast<double>(queue_limit(limiter, true));
-    return std::min(1.0, std::max(ingress, calls));
+    const auto& queue = limiter.queue;
+    return std::min(
+        1.0, std::max({ingress, calls, wait_ratio(limiter, queue.ingress.size, limiter.ingress_time_left),
+                       wait_ratio(limiter, queue.calls.size, limiter.call_time_left)}));
 }
 
 void set_ceiling(target_limiter& limiter, std::uint32_t slots) {
@@ -81,6 +105,7 @@
                                 steady_time now) {
     record_demand(limiter.demands, request.priority, request.account, request.weight);
     record_arrival(limiter.queue, request);
+    record_time_left(request.is_call ? limiter.call_time_left : limiter.ingress_time_left, deadline - now);
     if (is_below_limit(limiter) && limiter.queue.size() == 0 && take_token(limiter.rate, now)) {
         ++limiter.in_flight;
         return {};
--- a/src/dandelionmount/process/target_limiter.h
+++ b/src/dandelionmount/process/target_limiter.h
@@ -30,6 +30,9 @@
     duration baseline_time{std::chrono::milliseconds(5)};
     /// Demand of the fleet for the target, and the admitted part.
     demand_table demands;
+    /// EWMA of the time that requests of callers, and calls, have left when they arrive.
+    std::optional<duration> ingress_time_left;
+    std::optional<duration> call_time_left;
     /// Highest number of queued requests in the current demand window.
     std::size_t max_queued{0};
     /// Rate limit that the target names; starts are held back for it besides the limit.
@@ -45,7 +48,8 @@
     std::optional<queued_request> evicted;
 };
 
-/// Fill ratio of the ingress queue or the call queue, whichever is fuller, 0 to 1.
+/// Fill ratio of the ingress queue or the call queue, whichever is fuller, 0 to 1: by the number of requests
+/// in it, or by the time that they have to wait.
 [[nodiscard]] double queue_fill_ratio(const target_limiter& limiter);
 /// Sets the ceiling to the target's usable slots. If it changes, the limit is reset to it.
 void set_ceiling(target_limiter& limiter, std::uint32_t slots);
--- a/tests/process/service_pressure_test.cpp
+++ b/tests/process/service_pressure_test.cpp
@@ -193,10 +193,133 @@
     }
 }
 
+// A target that shares one processor among its running requests, as one whose host has too little processor
+// time: more concurrency makes each request slower, and nothing faster. Work is random, and each arrival
+// costs a quarter of the work of a call. The ingress nodes admit calls by the load that the target reports.
+class shared_processor_target {
+public:
+    shared_processor_target() { dm::set_ceiling(limiter_, 272); }
+
+    // Returns the calls that ended in time, as a share of those that the target could run if none was in
+    // vain.
+    double run(dm::duration time, double calls_per_second) {
+        const auto until = now_ + time;
+        double in_time = 0;
+        for (; now_ < until; now_ += milliseconds(1)) {
+            arrive(calls_per_second * admitted_ / 1000);
+            start_queued();
+            in_time += work();
+            if (++rounds_ % 100 == 0) {
+                dm::update_pressure(pressure_, limiter_, now_);
+                dm::update_demands(limiter_, now_);
+                dm::wire::load_report load;
+                dm::add_load(pressure_, load);
+                admitted_ = std::clamp(load.usable() / std::max(load.asked(), 1.0), 0.02, 1.0);
+            }
+        }
+        return in_time * (1 + arrival_work) / (work_per_second * dm::to_seconds(time));
+    }
+
+private:
+    struct call {
+        dm::steady_time deadline;
+        dm::steady_time started;
+        double work_left{1};
+    };
+    // In mean calls.
+    static constexpr double work_per_second = 600;
+    static constexpr double arrival_work = 0.25;
+    // A call that runs alone takes 50 ms.
+    static constexpr double max_call_per_second = 20;
+    static constexpr dm::duration time_budget = milliseconds(800);
+
+    void arrive(double count) {
+        std::poisson_distribution<int> arrivals(count);
+        for (int left = arrivals(random_); left > 0; --left) {
+            dm::queued_request request;
+            request.ticket = ++tickets_;
+            request.arrived = now_;
+            request.start_by = now_ + time_budget;
+            request.weight = 1 / admitted_;
+            request.is_call = true;
+            arrival_work_left_ += arrival_work;
+            dm::record_arrival(pressure_, "route", request.weight);
+            const auto decision = dm::decide_arrival(limiter_, request, request.start_by, now_);
+            if (decision.what == dm::arrival_decision::action::start) {
+                begin(request);
+            }
+        }
+    }
+
+    void begin(const dm::queued_request& request) {
+        dm::record_start(pressure_, "route", 0);
+        std::exponential_distribution<double> work(1);
+        running_.push_back({request.start_by, now_, work(random_)});
+    }
+
+    void start_queued() {
+        while (const auto next = dm::start_next(limiter_, now_)) {
+            if (next->start_by <= now_) {
+                dm::cancel_start(limiter_);
+            } else {
+                begin(*next);
+            }
+        }
+    }
+
+    int work() {
+        int in_time = 0;
+        const double arrivals = std::min(arrival_work_left_, work_per_second / 1000);
+        arrival_work_left_ -= arrivals;
+        const double each = std::min(max_call_per_second / 1000, (work_per_second / 1000 - arrivals) /
+                                                                     static_cast<double>(running_.size()));
+        for (auto& current : running_) {
+            current.work_left -= each;
+            const bool is_done = current.work_left <= 0;
+            if (is_done || now_ >= current.deadline) {
+                const auto elapsed = now_ - current.started;
+                dm::record_end(pressure_, "route", 0, elapsed);
+                if (is_done) {
+                    dm::record_end(limiter_, dm::call_end::answered, elapsed, now_);
+                    ++in_time;
+                } else {
+                    dm::cancel_start(limiter_);
+                }
+                current.deadline = dm::steady_time{};
+            }
+        }
+        std::erase_if(running_, [](const call& current) { return current.deadline == dm::steady_time{}; });
+        return in_time;
+    }
+
+    dm::target_limiter limiter_;
+    dm::service_pressure pressure_;
+    std::vector<call> running_;
+    std::mt19937_64 random_{1};
+    dm::steady_time now_{start};
+    std::uint64_t tickets_{0};
+    double arrival_work_left_{0};
+    int rounds_{0};
+    /// Share of the calls that the ingress nodes admit.
+    double admitted_{1};
+};
+
 } // namespace
 
 TEST_SUITE_BEGIN("process");
 
+// Guards against a standing queue in which calls wait for nearly all of their time: each of them costs work
+// and ends too late, also once the demand is back to normal. Seen on trouble-3 of sahil-kiosk, seed
+// 691647404656.
+TEST_CASE("An overloaded target ends most of its calls in time, and recovers with the demand") {
+    shared_processor_target target;
+    target.run(std::chrono::seconds(5), 1500);
+    CHECK(target.run(std::chrono::seconds(15), 1500) > 0.9);
+    target.run(std::chrono::seconds(2), 430);
+    // 0.9 of what the target can run.
+    CHECK(target.run(std::chrono::seconds(10), 430) > 0.85);
+}
+
 TEST_CASE("The load is the fleet's demand as a multiple of the target's capacity") {
     loaded_target target;
     target.run_second(200, 1);
