Let the baseline of run times rise by time, not by call

Cause: a timeout counts as a sign of overload if the run took more than twice the baseline. The baseline rose by 0.2 % with each call: at 700 calls a second it doubles in half a second, so an overload becomes normal before it is acted on, the sooner the busier the target.

Change: the baseline doubles in a minute at most.

--- a/src/dandelionmount/process/target_limiter.cpp
+++ b/src/dandelionmount/process/target_limiter.cpp
@@ -3,6 +3,7 @@
 #include "dandelionmount/process/result.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace dandelionmount {
@@ -14,8 +15,9 @@
 constexpr double min_service_seconds = 1e-6;
 // EWMA weight of a call.
 constexpr double ewma_weight = 0.2;
-// Factor by which the baseline may rise per call, so that it follows a lasting change.
-constexpr double baseline_drift = 1.002;
+// Time in which the baseline may double, so that it follows a lasting change. An overload must not become the
+// baseline while it lasts.
+constexpr duration baseline_doubling_time = std::chrono::seconds(60);
 // Headroom over the measured capacity while the queue stays empty, so that spare capacity is found.
 constexpr double idle_headroom = 2;
 // Headroom while there is a queue, and its reduction when the queue is full: the queue length settles where
@@ -153,11 +155,14 @@
     const double weight = limiter.measured ? ewma_weight : 1;
     limiter.service_time =
         std::chrono::duration_cast<duration>(limiter.service_time * (1 - weight) + elapsed * weight);
+    const double doublings =
+        to_seconds(now - limiter.baseline_updated_at) / to_seconds(baseline_doubling_time);
     limiter.baseline_time =
         limiter.measured
             ? std::min(limiter.service_time,
-                       std::chrono::duration_cast<duration>(limiter.baseline_time * baseline_drift))
+                       std::chrono::duration_cast<duration>(limiter.baseline_time * std::exp2(doublings)))
             : elapsed;
+    limiter.baseline_updated_at = now;
     limiter.measured = true;
     limiter.limit = std::min(limiter.ceiling, limiter.limit + 1 / limiter.limit);
     update_demands(limiter, now);
--- a/src/dandelionmount/process/target_limiter.h
+++ b/src/dandelionmount/process/target_limiter.h
@@ -28,6 +28,7 @@
     bool measured{false};
     /// Minimum of `service_time` with a slow upward drift: the time without overload.
     duration baseline_time{std::chrono::milliseconds(5)};
+    steady_time baseline_updated_at;
     /// Demand of the fleet for the target, and the admitted part.
     demand_table demands;
     /// EWMA of the time that requests of callers, and calls, have left when they arrive.
--- a/tests/process/target_limiter_test.cpp
+++ b/tests/process/target_limiter_test.cpp
@@ -63,6 +63,28 @@
     CHECK(limiter.limit == doctest::Approx(50));
 }
 
+// Guards against an overload that lasts, as its run times count as normal within seconds: calls that are cut
+// off at their deadline then say nothing any more, and the limit stays.
+TEST_CASE("The run times of an overload do not become the baseline while it lasts") {
+    dm::target_limiter limiter;
+    dm::set_ceiling(limiter, 50);
+    auto now = start;
+    const auto run = [&](int calls, dm::duration each) {
+        for (int call = 0; call < calls; ++call) {
+            now += std::chrono::microseconds(1400);
+            (void)dm::decide_arrival(limiter, make_request(1), now + std::chrono::seconds(1), now);
+            dm::record_end(limiter, dm::call_end::answered, each, now);
+        }
+    };
+    run(1000, milliseconds(50));
+    // 10 s at 700 calls per second.
+    run(7000, milliseconds(400));
+    CHECK(limiter.baseline_time < milliseconds(100));
+    // Run times that stay so for minutes do.
+    run(200000, milliseconds(400));
+    CHECK(limiter.baseline_time > milliseconds(399));
+}
+
 TEST_CASE("The served share of the demand falls while the demand exceeds the capacity, and rises again") {
     auto limiter = busy_limiter(2);
     limiter.measured = true;
