--- a/tests/process/target_rate_test.cpp
+++ b/tests/process/target_rate_test.cpp
@@ -47,7 +47,8 @@
         while (now < until) {
             const auto next = now + dm::from_seconds(gap(random_));
             pass_time(next);
-            const auto request = make_request(++last_ticket_, last_ticket_ % 3 == 0 ? 2 : 1, now);
+            ++last_ticket_;
+            const auto request = make_request(last_ticket_, last_ticket_ % 3 == 0 ? 2 : 1, now);
             const auto decision = dm::decide_arrival(limiter, request, now + std::chrono::seconds(2), now);
             if (decision.what == dm::arrival_decision::action::start) {
                 start(request.priority);
