--- a/review/standins.py
+++ b/review/standins.py
@@ -196,6 +196,8 @@
         self.slots = 100
         self.body_of = lambda path: b"answer to " + path.encode()
         self.runs = {}
+        # Id and time of each run, in order.
+        self.starts = []
         self.lock = threading.Lock()
         self.alive = True
         self.server = QuietServer((machine.ip, machine.ports["app"]), WorkerHandler)
@@ -209,6 +211,7 @@
             return handler.answer(421, X_Instance_Id=self.instance)
         with self.lock:
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            self.starts.append((request_id, time.monotonic()))
         self.record.line("run", worker=self.machine.name, id=request_id, path=handler.path, body_bytes=len(body))
         time.sleep(self.work_s)
         handler.answer(200, self.body_of(handler.path), X_Response_Signature="r." + request_id)
