Keep the state of a connection to a peer in an object that ends with it

Cause: the heartbeat task of a connection sleeps up to 3 s. It tested whether its connection was open before it slept, not after, and kept the time of the first unanswered heartbeat in the link, which outlives its connections. The task of a connection that had ended woke, "sent" a heartbeat on its closed stream and so marked the next connection as unanswered since then. If nothing arrived on that one meanwhile, it was closed for silence 0.2 s after the next request.

Change: peer_connection holds the stream, the incarnation of the process at the other end, the heartbeats and the measure of silence. A late task writes to its own connection only, and ends when that is closed. The end of a connection resets the link only if it is the link's current one.

--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -15,11 +15,6 @@
 namespace {
 
 constexpr duration connect_timeout = std::chrono::milliseconds(500);
-constexpr duration heartbeat_interval = std::chrono::milliseconds(200);
-// While no reply is pending, rare heartbeats suffice to detect a lost connection.
-constexpr duration idle_heartbeat_interval = std::chrono::seconds(3);
-// A connection on which nothing follows a heartbeat for this long counts as lost, though it may look open.
-constexpr duration heartbeat_timeout = std::chrono::milliseconds(700);
 // How long to try to settle the outcome of a request after its connection was lost.
 constexpr duration settle_timeout = std::chrono::milliseconds(2500);
 constexpr duration settle_reply_timeout = std::chrono::milliseconds(700);
@@ -55,12 +50,6 @@
 
 } // namespace
 
-wire::peer_frame make_heartbeat(std::uint64_t sequence) {
-    wire::peer_frame frame;
-    frame.mutable_heartbeat()->set_sequence(sequence);
-    return frame;
-}
-
 std::string forward_key(std::string_view id, std::uint32_t attempt) {
     return "f" + std::string(id) + "." + std::to_string(attempt);
 }
@@ -89,13 +78,13 @@
 
 peer_link::peer_link(peer_link_context context, std::string host, std::string address)
     : context_(std::move(context)), host_(std::move(host)), address_(std::move(address)),
-      reply_pending_(context_.executor), connect_done_(context_.executor) {}
+      connect_done_(context_.executor) {}
 
 void peer_link::send_crash_report(const wire::crash_report& report) {
     if (is_connected()) {
         wire::peer_frame frame = make_heartbeat(0);
         *frame.mutable_heartbeat()->mutable_crashes() = report;
-        stream_->send(frame);
+        connection_->stream().send(frame);
     }
 }
 
@@ -111,8 +100,8 @@
 
 void peer_link::stop() {
     stopped_ = true;
-    if (stream_) {
-        stream_->close();
+    if (connection_) {
+        connection_->close();
     }
 }
 
@@ -125,20 +114,20 @@
 }
 
 void peer_link::close_if_retired() {
-    if (stopped_ && pending_.empty() && stream_) {
-        stream_->close();
+    if (stopped_ && pending_.empty() && connection_) {
+        connection_->close();
     }
 }
 
 asio::awaitable<peer_link::connect_outcome> peer_link::wait_connected(steady_time deadline) {
     auto self = shared_from_this();
     while (!stopped_) {
-        if (stream_ && stream_->is_open()) {
+        if (is_connected()) {
             co_return connect_outcome::connected;
         }
         start_connecting();
         const bool done = co_await connect_done_.wait_until(deadline);
-        if (stream_ && stream_->is_open()) {
+        if (is_connected()) {
             co_return connect_outcome::connected;
         }
         if (done && refused_) {
@@ -174,12 +163,15 @@
     send_delayed_cancels();
     close_if_retired();
     reconnect_backoff_ = duration{0};
-    auto stream = stream_;
+    const auto connection = connection_;
     asio::co_spawn(
-        context_.executor, [self = shared_from_this(), stream] { return self->send_heartbeats(stream); },
+        context_.executor,
+        [self = shared_from_this(), connection] {
+            return connection->send_heartbeats([self] { return !self->pending_.empty(); });
+        },
         asio::detached);
-    co_await read_frames(stream);
-    connection_ended();
+    co_await read_frames(connection);
+    connection_ended(connection);
 }
 
 asio::awaitable<bool> peer_link::open_connection() {
@@ -215,60 +207,24 @@
         stream->close();
         co_return false;
     }
-    stream_ = stream;
-    last_received_at_ = context_.time.now();
-    peer_incarnation_ = peer.value().incarnation;
-    unanswered_since_.reset();
+    if (connection_) {
+        connection_ended(connection_);
+    }
+    connection_ =
+        std::make_shared<peer_connection>(context_.executor, context_.time, stream, peer.value().incarnation);
     co_return true;
 }
 
-asio::awaitable<void> peer_link::read_frames(std::shared_ptr<frame_stream> stream) {
+asio::awaitable<void> peer_link::read_frames(std::shared_ptr<peer_connection> connection) {
     while (true) {
-        auto frame = co_await stream->read(max_frame_bytes);
+        auto frame = co_await connection->read();
         if (!frame) {
             co_return;
         }
-        unanswered_since_.reset();
-        last_received_at_ = context_.time.now();
         handle_frame(std::move(frame.value()));
     }
 }
 
-// Sends heartbeats: while a reply is pending, soon after the last received frame; otherwise rarely. Closes
-// the connection when no frame follows them in time.
-asio::awaitable<void> peer_link::send_heartbeats(std::shared_ptr<frame_stream> stream) {
-    while (stream->is_open()) {
-        bool is_due = false;
-        if (pending_.empty()) {
-            reply_pending_.reset();
-            const auto due = context_.time.now() + idle_heartbeat_interval;
-            const bool woken = co_await reply_pending_.wait_until(due);
-            is_due = !woken;
-            exclude_own_delay(due);
-        }
-        if (!is_due) {
-            const auto due = context_.time.now() + heartbeat_interval;
-            co_await sleep_for(context_.executor, heartbeat_interval);
-            exclude_own_delay(due);
-            is_due = !pending_.empty() && context_.time.now() - last_received_at_ >= heartbeat_interval;
-        }
-        if (unanswered_since_ && context_.time.now() - *unanswered_since_ > heartbeat_timeout) {
-            stream->close();
-        } else if (is_due) {
-            stream->send(make_heartbeat(0));
-            unanswered_since_ = unanswered_since_.value_or(context_.time.now());
-        }
-    }
-}
-
-// Time in which this process itself did not run must not count as silence of the other host.
-void peer_link::exclude_own_delay(steady_time due) {
-    const auto now = context_.time.now();
-    if (unanswered_since_ && now > due) {
-        *unanswered_since_ += now - due;
-    }
-}
-
 void peer_link::handle_frame(wire::peer_frame frame) {
     const auto found = pending_.find(reply_key_of(frame));
     if (found == pending_.end()) {
@@ -285,15 +241,13 @@
     }
 }
 
-void peer_link::log_loss() const {
-    const auto now = context_.time.now();
-    const bool silent = unanswered_since_ && now - *unanswered_since_ > heartbeat_timeout;
+void peer_link::log_loss(const peer_connection& lost) const {
     log_event(log_level::info, "peer connection lost",
               {{"host", host_},
-               {"cause", stopped_ ? "stopped"
-                         : silent ? "silence"
-                                  : "closed"},
-               {"heard_ms", std::to_string(to_milliseconds(now - last_received_at_))},
+               {"cause", stopped_           ? "stopped"
+                         : lost.is_silent() ? "silence"
+                                            : "closed"},
+               {"heard_ms", std::to_string(to_milliseconds(lost.time_since_received()))},
                {"waiting", std::to_string(pending_.size())}});
 }
 
@@ -309,12 +263,14 @@
                {"took_ms", std::to_string(to_milliseconds(took))}});
 }
 
-void peer_link::connection_ended() {
-    log_loss();
-    if (stream_) {
-        stream_->close();
+// Requests on a connection that was replaced have been told when it was.
+void peer_link::connection_ended(const std::shared_ptr<peer_connection>& ended) {
+    if (connection_ != ended) {
+        return;
     }
-    stream_.reset();
+    log_loss(*ended);
+    ended->close();
+    connection_.reset();
     report_reachable(false);
     const auto pending = pending_;
     for (const auto& [key, entry] : pending) {
@@ -326,7 +282,9 @@
 peer_link::pending_pointer peer_link::add_pending(const std::string& key) {
     auto pending = std::make_shared<pending_reply>(context_.executor);
     pending_[key] = pending;
-    reply_pending_.set();
+    if (connection_) {
+        connection_->expect_reply();
+    }
     return pending;
 }
 
@@ -338,7 +296,7 @@
         co_return std::nullopt;
     }
     const auto pending = add_pending(reply_key);
-    stream_->send(frame);
+    connection_->stream().send(frame);
     co_await pending->changed.wait_until(deadline);
     const auto found = pending_.find(reply_key);
     if (found != pending_.end() && found->second == pending) {
@@ -374,12 +332,12 @@
 asio::awaitable<wire::forward_reply> peer_link::await_reply(const wire::forward_request& request,
                                                             steady_time deadline,
                                                             std::shared_ptr<cancel_token> cancel) {
-    const std::uint64_t incarnation = peer_incarnation_;
+    const std::uint64_t incarnation = connection_->incarnation();
     const std::string key = forward_key(request.id(), request.attempt());
     auto pending = add_pending(key);
     wire::peer_frame frame;
     *frame.mutable_forward_request() = request;
-    stream_->send(frame);
+    connection_->stream().send(frame);
     while (true) {
         const bool changed = co_await pending->changed.wait_until(deadline);
         if (const auto arrived = pending->reply) {
@@ -439,7 +397,7 @@
     const auto settle_deadline = std::min(deadline, context_.time.now() + settle_timeout);
     while (context_.time.now() < settle_deadline) {
         const auto connected = co_await wait_connected(settle_deadline);
-        if (connected != connect_outcome::connected || peer_incarnation_ != incarnation) {
+        if (connected != connect_outcome::connected || connection_->incarnation() != incarnation) {
             // No process listens any more, none is reached in time, or another one listens: what the process
             // that received the request did can't be learned.
             co_return settle_outcome::unknown;
@@ -467,17 +425,17 @@
 }
 
 void peer_link::send_cancel(const wire::forward_request& request) {
-    if (stream_) {
+    if (connection_) {
         context_.counters.count(event::cancels);
         wire::peer_frame frame;
         frame.mutable_cancel_request()->set_id(request.id());
         frame.mutable_cancel_request()->set_attempt(request.attempt());
-        stream_->send(frame);
+        connection_->stream().send(frame);
     }
 }
 
 void peer_link::send_or_delay_cancel(const wire::forward_request& request, steady_time deadline) {
-    if (stream_) {
+    if (connection_) {
         send_cancel(request);
     } else {
         cancel_when_connected(request, deadline);
@@ -501,19 +459,19 @@
             context_.counters.count(event::cancels);
             wire::peer_frame frame;
             *frame.mutable_cancel_request() = entry.message;
-            stream_->send(frame);
+            connection_->stream().send(frame);
         }
     }
     delayed_cancels_.clear();
 }
 
 void peer_link::send_ack(const wire::forward_reply& reply) {
-    if (stream_) {
+    if (connection_) {
         wire::peer_frame frame;
         frame.mutable_reply_ack()->set_id(reply.id());
         frame.mutable_reply_ack()->set_attempt(reply.attempt());
         // Nothing waits for the acknowledgement, so it is sent together with the next frame.
-        stream_->send_with_next(frame);
+        connection_->stream().send_with_next(frame);
     }
 }
 
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -2,7 +2,7 @@
 #define DANDELIONMOUNT_CONNECTION_PEER_LINK_H
 
 #include "dandelionmount/connection/async_event.h"
-#include "dandelionmount/connection/frame_stream.h"
+#include "dandelionmount/connection/peer_connection.h"
 #include "dandelionmount/connection/peer_handshake.h"
 #include "dandelionmount/process/clock.h"
 #include "dandelionmount/process/metrics.h"
@@ -50,7 +50,7 @@
     void send_crash_report(const wire::crash_report& report);
     /// Opens the connection in the background, unless it is open or the backoff has not elapsed.
     void keep_connected();
-    [[nodiscard]] bool is_connected() const { return stream_ && stream_->is_open(); }
+    [[nodiscard]] bool is_connected() const { return connection_ && connection_->is_open(); }
     /// Closes the connection for good.
     void stop();
     /// Opens no more connections, and closes the current one once no reply is pending on it.
@@ -73,14 +73,12 @@
     void start_connecting();
     boost::asio::awaitable<void> connect_and_read();
     boost::asio::awaitable<bool> open_connection();
-    boost::asio::awaitable<void> read_frames(std::shared_ptr<frame_stream> stream);
-    boost::asio::awaitable<void> send_heartbeats(std::shared_ptr<frame_stream> stream);
-    void exclude_own_delay(steady_time due);
+    boost::asio::awaitable<void> read_frames(std::shared_ptr<peer_connection> connection);
     void handle_frame(wire::peer_frame frame);
-    void connection_ended();
+    void connection_ended(const std::shared_ptr<peer_connection>& ended);
     void close_if_retired();
     void report_reachable(bool reachable) const;
-    void log_loss() const;
+    void log_loss(const peer_connection& lost) const;
     void log_settlement(const wire::forward_request& request, settle_outcome outcome, duration took) const;
     boost::asio::awaitable<wire::forward_reply> cancel_at_deadline(const wire::forward_request& request,
                                                                    pending_pointer pending);
@@ -99,14 +97,8 @@
     peer_link_context context_;
     std::string host_;
     std::string address_;
-    std::shared_ptr<frame_stream> stream_;
-    std::uint64_t peer_incarnation_{0};
-    /// When the first heartbeat since the last received frame was sent; nullopt if there is none.
-    std::optional<steady_time> unanswered_since_;
-    /// When the last frame arrived.
-    steady_time last_received_at_;
-    /// Set when a reply becomes pending.
-    async_event reply_pending_;
+    /// The current connection; nullptr while there is none.
+    std::shared_ptr<peer_connection> connection_;
     /// Earliest time at which keep_connected() opens a connection again.
     steady_time next_connect_at_;
     duration reconnect_backoff_{};
@@ -124,8 +116,6 @@
     std::vector<delayed_cancel> delayed_cancels_;
 };
 
-[[nodiscard]] wire::peer_frame make_heartbeat(std::uint64_t sequence);
-
 /// Correlation keys, by which replies are matched to pending requests.
 [[nodiscard]] std::string forward_key(std::string_view id, std::uint32_t attempt);
 [[nodiscard]] std::string settle_key(std::string_view id, std::uint32_t attempt);
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -458,6 +458,26 @@
     }
 }
 
+// Guards against requests that are broken off after hosts have been restarted in turn: the heartbeats of an
+// ended connection made the next one count as silent, and the link closed it at the next request.
+TEST_CASE("A connection that follows an ended one is not closed for the silence of the ended one") {
+    link_fixture fixture(1, true);
+    fixture.link->keep_connected();
+    fixture.io.run_for(milliseconds(1500));
+    REQUIRE(fixture.link->is_connected());
+    fixture.middle->cut_connections();
+    fixture.io.run_for(milliseconds(50));
+    fixture.link->keep_connected();
+    // By then the first connection would have sent its next heartbeat, and waited for the answer in vain.
+    fixture.io.run_for(milliseconds(2550));
+    REQUIRE(fixture.link->is_connected());
+    fixture.min_run_time = milliseconds(600);
+    fixture.start_cancellable("after", false, std::make_shared<dm::cancel_token>());
+    REQUIRE(fixture.run_until_ended("after", std::chrono::seconds(3)));
+    CHECK(fixture.outcomes["after"] == wire::ran);
+    CHECK(fixture.counters.total(dm::event::settle_questions) == 0);
+}
+
 // Guards against requests that reach a target long after their callers have left: a host that is late started
 // a request and read its cancellation after it. The target has an idle connection, so a run would start at
 // once.
