Wait for a run whose connection to its host was lost

Cause: on the platform with a store, an idempotent request whose connection was lost was never settled. It was sent to another worker at once, and when there was none, or the retries were spent, the caller got 502, though the other host was reachable a round trip later and the deadline seconds away. A request that is not idempotent was settled and got its answer.

Change: such an attempt is settled for up to 100 ms, the time of a new connection and a question; if it runs, its reply is waited for. Otherwise the link returns it as unsettled, and the dispatcher decides: it abandons the attempt (which cancels it) and sends the request to another worker, or, where it can't, resumes it: the attempt is settled like one that can't be repeated. This also saves second runs, which count against the retry budget.

--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -48,6 +48,14 @@
     }
 }
 
+unsettled_attempt identify(const wire::forward_request& request, std::uint64_t incarnation) {
+    unsettled_attempt attempt;
+    attempt.request.set_id(request.id());
+    attempt.request.set_attempt(request.attempt());
+    attempt.incarnation = incarnation;
+    return attempt;
+}
+
 } // namespace
 
 std::string forward_key(std::string_view id, std::uint32_t attempt) {
@@ -306,14 +314,14 @@
     co_return std::move(pending->reply);
 }
 
-asio::awaitable<wire::forward_reply> peer_link::forward(wire::forward_request request, steady_time deadline,
-                                                        std::shared_ptr<cancel_token> cancel) {
+asio::awaitable<forward_result> peer_link::forward(wire::forward_request request, steady_time deadline,
+                                                   std::shared_ptr<cancel_token> cancel) {
     auto self = shared_from_this();
     const auto connect_deadline = std::min(deadline, context_.time.now() + connect_timeout);
     const auto connected = co_await wait_connected(connect_deadline);
     if (connected != connect_outcome::connected || cancel->requested()) {
         const reason why = cancel->requested() ? reason::caller_gone : reason::peer_unreachable;
-        co_return make_reply(request, wire::not_run, why);
+        co_return forward_result{make_reply(request, wire::not_run, why), std::nullopt};
     }
     cancel->on_cancel([weak = weak_from_this(), id = request.id(), attempt = request.attempt()] {
         if (const auto link = weak.lock()) {
@@ -323,44 +331,67 @@
             link->send_cancel(cancelled);
         }
     });
-    auto reply = co_await await_reply(request, deadline, cancel);
-    pending_.erase(forward_key(request.id(), request.attempt()));
-    close_if_retired();
-    co_return reply;
-}
-
-asio::awaitable<wire::forward_reply> peer_link::await_reply(const wire::forward_request& request,
-                                                            steady_time deadline,
-                                                            std::shared_ptr<cancel_token> cancel) {
     const std::uint64_t incarnation = connection_->incarnation();
-    const std::string key = forward_key(request.id(), request.attempt());
-    auto pending = add_pending(key);
+    const auto pending = add_pending(forward_key(request.id(), request.attempt()));
     wire::peer_frame frame;
     *frame.mutable_forward_request() = request;
     connection_->stream().send(frame);
+    const bool may_be_retried = request.idempotent() && context_.idempotent_settle_timeout;
+    const duration settle_limit = may_be_retried ? *context_.idempotent_settle_timeout : settle_timeout;
+    auto result = co_await await_reply(request, incarnation, pending, settle_limit, deadline, cancel);
+    if (!may_be_retried) {
+        result.unsettled.reset();
+    }
+    co_return result;
+}
+
+asio::awaitable<wire::forward_reply> peer_link::resume(unsettled_attempt attempt, steady_time deadline,
+                                                       std::shared_ptr<cancel_token> cancel) {
+    auto self = shared_from_this();
+    const auto pending = add_pending(forward_key(attempt.request.id(), attempt.request.attempt()));
+    pending->connection_lost = true;
+    pending->changed.set();
+    auto result =
+        co_await await_reply(attempt.request, attempt.incarnation, pending, settle_timeout, deadline, cancel);
+    if (result.unsettled) {
+        abandon(*result.unsettled, deadline);
+    }
+    co_return std::move(result.reply);
+}
+
+// Waits for the reply to an attempt. An attempt whose connection is lost is settled for at most the limit.
+asio::awaitable<forward_result> peer_link::await_reply(const wire::forward_request& request,
+                                                       std::uint64_t incarnation, pending_pointer pending,
+                                                       duration settle_limit, steady_time deadline,
+                                                       std::shared_ptr<cancel_token> cancel) {
+    const std::string key = forward_key(request.id(), request.attempt());
+    forward_result result;
     while (true) {
         const bool changed = co_await pending->changed.wait_until(deadline);
         if (const auto arrived = pending->reply) {
             send_ack(arrived->forward_reply());
-            co_return arrived->forward_reply();
+            result.reply = arrived->forward_reply();
+            break;
         }
         if (!changed) {
             auto last = co_await cancel_at_deadline(request, pending);
-            co_return last;
+            result.reply = std::move(last);
+            break;
         }
-        if (!context_.settles || (context_.skips_settling_if_idempotent && request.idempotent())) {
-            // The request may be sent to another host; this attempt has nobody who waits for it.
-            cancel_when_connected(request, deadline);
-            co_return make_reply(request, wire::unknown, reason::peer_lost);
+        if (!context_.settles) {
+            result.reply = make_reply(request, wire::unknown, reason::peer_lost);
+            break;
         }
         // Registered before settling, as the reply to the request may directly follow the settle reply.
         pending = add_pending(key);
         const auto settle_started_at = context_.time.now();
-        const auto settled = co_await settle(request, incarnation, deadline);
+        const auto settle_deadline = std::min(deadline, settle_started_at + settle_limit);
+        const auto settled = co_await settle(request, incarnation, settle_deadline);
         log_settlement(request, settled, context_.time.now() - settle_started_at);
         if (settled == settle_outcome::not_run) {
             context_.counters.count(event::settle_proved);
-            co_return make_reply(request, wire::not_run, reason::peer_lost);
+            result.reply = make_reply(request, wire::not_run, reason::peer_lost);
+            break;
         }
         // A cancellation that was sent before may have been lost with the connection.
         if (cancel->requested()) {
@@ -368,10 +399,15 @@
         }
         if (settled == settle_outcome::unknown) {
             const bool deadline_passed = context_.time.now() >= deadline;
-            co_return make_reply(request, wire::unknown,
-                                 deadline_passed ? reason::deadline : reason::peer_lost);
+            result.reply =
+                make_reply(request, wire::unknown, deadline_passed ? reason::deadline : reason::peer_lost);
+            result.unsettled = identify(request, incarnation);
+            break;
         }
     }
+    pending_.erase(key);
+    close_if_retired();
+    co_return result;
 }
 
 // Cancels an attempt at its deadline and waits briefly for what became of it: one that still waited for its
@@ -394,9 +430,8 @@
 // Finds out on a new connection whether a request ran whose connection was lost.
 asio::awaitable<peer_link::settle_outcome>
 peer_link::settle(const wire::forward_request& request, std::uint64_t incarnation, steady_time deadline) {
-    const auto settle_deadline = std::min(deadline, context_.time.now() + settle_timeout);
-    while (context_.time.now() < settle_deadline) {
-        const auto connected = co_await wait_connected(settle_deadline);
+    while (context_.time.now() < deadline) {
+        const auto connected = co_await wait_connected(deadline);
         if (connected != connect_outcome::connected || connection_->incarnation() != incarnation) {
             // No process listens any more, none is reached in time, or another one listens: what the process
             // that received the request did can't be learned.
@@ -406,7 +441,7 @@
         wire::peer_frame frame;
         frame.mutable_settle_request()->set_id(request.id());
         frame.mutable_settle_request()->set_attempt(request.attempt());
-        const auto reply_deadline = std::min(settle_deadline, context_.time.now() + settle_reply_timeout);
+        const auto reply_deadline = std::min(deadline, context_.time.now() + settle_reply_timeout);
         const auto reply = co_await call(frame, settle_key(request.id(), request.attempt()), reply_deadline);
         if (!reply) {
             continue;
@@ -435,7 +470,7 @@
 }
 
 void peer_link::send_or_delay_cancel(const wire::forward_request& request, steady_time deadline) {
-    if (connection_) {
+    if (is_connected()) {
         send_cancel(request);
     } else {
         cancel_when_connected(request, deadline);
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -25,13 +25,28 @@
     /// Whether to settle the outcome of a request whose connection is lost: to find out on a new connection
     /// whether it ran. Off only in benchmarks and tests.
     bool settles{true};
-    /// Whether an idempotent request is returned as `unknown` at once when its connection is lost, so that it
-    /// can be retried elsewhere.
-    bool skips_settling_if_idempotent{false};
+    /// How long to settle an idempotent request before it is returned as unsettled, so that it can be retried
+    /// elsewhere; nullopt: as long as any other request.
+    std::optional<duration> idempotent_settle_timeout;
     /// Called when a connection to the host is established, is lost or can't be opened, and on retire().
     std::function<void(const std::string& host, bool reachable)> on_reachability;
 };
 
+/// An idempotent attempt whose connection was lost, and that may run still.
+struct unsettled_attempt {
+    /// Only the id and the attempt number are set.
+    wire::forward_request request;
+    /// Of the process that received the attempt.
+    std::uint64_t incarnation{0};
+};
+
+/// The outcome of an attempt at another host.
+struct forward_result {
+    wire::forward_reply reply;
+    /// To be resumed or abandoned.
+    std::optional<unsettled_attempt> unsettled;
+};
+
 /// Requests to one other host over a single connection, opened on demand.
 class peer_link : public std::enable_shared_from_this<peer_link> {
 public:
@@ -40,9 +55,16 @@
     /// Sends a request and waits for its outcome until the deadline. If the connection is lost, settles the
     /// outcome on a new one where the context allows. Returns `unknown` when the outcome is not settled,
     /// can't be learned, or is not learned in time. Cancels the attempt at the other host, also after a lost
-    /// connection, when the token is cancelled or the outcome is not waited for.
-    boost::asio::awaitable<wire::forward_reply> forward(wire::forward_request request, steady_time deadline,
-                                                        std::shared_ptr<cancel_token> cancel);
+    /// connection, when the token is cancelled.
+    boost::asio::awaitable<forward_result> forward(wire::forward_request request, steady_time deadline,
+                                                   std::shared_ptr<cancel_token> cancel);
+    /// Settles the attempt as one that can't be retried, and waits for its outcome if it runs.
+    boost::asio::awaitable<wire::forward_reply> resume(unsettled_attempt attempt, steady_time deadline,
+                                                       std::shared_ptr<cancel_token> cancel);
+    /// Cancels the attempt, now or when the connection is open again.
+    void abandon(const unsettled_attempt& attempt, steady_time deadline) {
+        send_or_delay_cancel(attempt.request, deadline);
+    }
     /// Sends a frame and waits for the reply with `reply_key`; nullopt when none arrives in time.
     boost::asio::awaitable<std::optional<wire::peer_frame>> call(wire::peer_frame frame,
                                                                  std::string reply_key, steady_time deadline);
@@ -85,9 +107,10 @@
     pending_pointer add_pending(const std::string& key);
     boost::asio::awaitable<settle_outcome> settle(const wire::forward_request& request,
                                                   std::uint64_t incarnation, steady_time deadline);
-    boost::asio::awaitable<wire::forward_reply> await_reply(const wire::forward_request& request,
-                                                            steady_time deadline,
-                                                            std::shared_ptr<cancel_token> cancel);
+    boost::asio::awaitable<forward_result> await_reply(const wire::forward_request& request,
+                                                       std::uint64_t incarnation, pending_pointer pending,
+                                                       duration settle_limit, steady_time deadline,
+                                                       std::shared_ptr<cancel_token> cancel);
     void send_cancel(const wire::forward_request& request);
     void send_or_delay_cancel(const wire::forward_request& request, steady_time deadline);
     void cancel_when_connected(const wire::forward_request& request, steady_time deadline);
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -65,7 +65,7 @@
       identity_{own.host, make_incarnation(), std::move(secret)},
       members_{make_own_record(own, identity_.incarnation)}, lease_{identity_.incarnation},
       configuration_(own.zones, time), target_(time, own.mechanisms),
-      peers_({io.get_executor(), identity_, time, counters_, own.mechanisms.settle, false, {}}, members_),
+      peers_({io.get_executor(), identity_, time, counters_, own.mechanisms.settle, std::nullopt, {}}, members_),
       connections_(io.get_executor(), time, own.limits.body_bytes,
                    std::make_shared<byte_budget>(received_responses_budget(own.limits))),
       crash_monitor_({io.get_executor(), time, counters_, members_, peers_, random_}),
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -56,8 +56,9 @@
 constexpr std::size_t max_response_bytes = 16UL * 1024 * 1024;
 // Bytes of all responses being received: three tenths of that memory.
 constexpr std::size_t max_received_bytes = 48UL * 1024 * 1024;
-// An idempotent request whose connection is lost is sent to another host at once, and not settled.
-constexpr bool settling_skips_idempotent = true;
+// How long an idempotent request whose connection is lost is settled before it is sent to another host: a few
+// round trips, as opening a connection and asking take.
+constexpr duration idempotent_settle_timeout = std::chrono::milliseconds(100);
 constexpr unsigned ok = 200;
 constexpr unsigned bad_request = 400;
 constexpr unsigned not_found = 404;
@@ -100,7 +101,7 @@
       identity_{own.host, random_number(), {}}, members_{make_own_record(own, identity_.incarnation)},
       configuration_({}, time),
       target_(time, {}, own.announcement_interval * missed_announcements_until_gone),
-      peers_({io.get_executor(), identity_, time, counters_, true, settling_skips_idempotent,
+      peers_({io.get_executor(), identity_, time, counters_, true, idempotent_settle_timeout,
               [this](const std::string& host, bool reachable) {
                   dispatcher_.record_reachability(host, reachable);
               }},
@@ -109,7 +110,7 @@
                    std::make_shared<byte_budget>(byte_budget{max_received_bytes}), adapter.protocol),
       crash_monitor_({io.get_executor(), time, counters_, members_, peers_, random_}),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
-                 ip_of(own.target_address), &pressure_, !settling_skips_idempotent, &crash_monitor_}),
+                 ip_of(own.target_address), &pressure_, false, &crash_monitor_}),
       retry_limiter_(
           time, members_, {own.retry_share, static_cast<double>(own.retry_slack), own.retry_window},
           {[this](std::string_view service) { return limiter_.is_retry_allocator_reachable(service); },
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -1,7 +1,5 @@
 #include "dandelionmount/request/dispatcher.h"
 
-#include "dandelionmount/connection/peer_link.h"
-
 #include <algorithm>
 
 namespace dandelionmount {
@@ -187,7 +185,7 @@
     bool may_have_run = false;
     retry_decision retry;
     std::string host;
-    auto reply = make_reply(order.request, wire::not_run, reason::no_target);
+    attempt_result last{make_reply(order.request, wire::not_run, reason::no_target), std::nullopt};
     for (std::uint32_t number = 1;; ++number) {
         if (!retry.at_same_worker) {
             const choice_context context{service, context_.members.self.zone(), tried, context_.time.now()};
@@ -197,35 +195,56 @@
             if (choice.host.empty() || is_exhausted) {
                 // After an attempt, its outcome is more informative than the lack of another worker.
                 if (number == 1) {
-                    reply = make_reply(order.request, wire::not_run, choice.why);
-                    reply.set_retry_after_ms(to_milliseconds(overload_retry_after));
+                    last.reply = make_reply(order.request, wire::not_run, choice.why);
+                    last.reply.set_retry_after_ms(to_milliseconds(overload_retry_after));
                 }
-                correct_outcome(reply, may_have_run);
-                co_return reply;
+                break;
             }
             host = choice.host;
             order.request.set_last_resort(choice.is_last_resort);
             tried.push_back(host);
         }
-        order.request.set_attempt(number);
-        reply = co_await attempt(order, host);
-        retry = co_await decide_retry(order, reply, redirects);
-        if (retry.cause == reason::none) {
-            correct_outcome(reply, may_have_run);
-            co_return reply;
-        }
-        if (reply.outcome() == wire::unknown) {
+        if (last.reply.outcome() == wire::unknown) {
             may_have_run = true;
             order.request.set_repeat_share(1);
         }
-        if (reply.crash() != 0) {
-            order.request.add_crashes(reply.crash());
+        if (last.lost) {
+            last.lost->link->abandon(last.lost->attempt, order.deadline);
+        }
+        order.request.set_attempt(number);
+        auto result = co_await attempt(order, host);
+        last = std::move(result);
+        retry = co_await decide_retry(order, last.reply, redirects);
+        if (retry.cause == reason::none) {
+            break;
+        }
+        if (last.reply.crash() != 0) {
+            order.request.add_crashes(last.reply.crash());
         }
         context_.counters.count_retry(retry.cause);
     }
+    auto reply = co_await conclude(order, std::move(last), may_have_run);
+    co_return reply;
+}
+
+// The final reply to a request that is not sent again. An attempt whose connection was lost is waited for, as
+// its target may be at work.
+asio::awaitable<wire::forward_reply> dispatcher::conclude(const dispatch_order& order, attempt_result last,
+                                                          bool earlier_attempt_may_have_run) {
+    if (last.lost && has_ended(order)) {
+        last.lost->link->abandon(last.lost->attempt, order.deadline);
+    } else if (last.lost) {
+        ++workers_[last.lost->host].in_flight;
+        auto reply = co_await last.lost->link->resume(last.lost->attempt, order.deadline, order.cancel);
+        last.reply = std::move(reply);
+        record_reply(order, last.lost->host, last.lost->allowance, last.reply);
+    }
+    correct_outcome(last.reply, earlier_attempt_may_have_run);
+    co_return std::move(last.reply);
 }
 
-asio::awaitable<wire::forward_reply> dispatcher::attempt(const dispatch_order& order, std::string host) {
+asio::awaitable<dispatcher::attempt_result> dispatcher::attempt(const dispatch_order& order,
+                                                                std::string host) {
     wire::forward_request request = order.request;
     request.set_remaining_ms(to_milliseconds(order.deadline - context_.time.now()));
     request.set_objective_ms(
@@ -236,16 +255,27 @@
     worker_record& chosen = workers_[host];
     ++chosen.in_flight;
     request.set_target_rate_limit(chosen.load.rate_limit());
-    wire::forward_reply reply;
+    attempt_result result;
     const bool is_self = host == context_.members.self.host();
     const auto link = is_self ? nullptr : context_.peers.find(host);
     if (is_self) {
-        reply = co_await context_.local.run_local(std::move(request), order.deadline, order.cancel);
+        auto reply = co_await context_.local.run_local(std::move(request), order.deadline, order.cancel);
+        result.reply = std::move(reply);
     } else if (link != nullptr) {
-        reply = co_await link->forward(std::move(request), order.deadline, order.cancel);
+        auto forwarded = co_await link->forward(std::move(request), order.deadline, order.cancel);
+        result.reply = std::move(forwarded.reply);
+        if (forwarded.unsettled) {
+            result.lost = lost_attempt{host, link, std::move(*forwarded.unsettled), slice};
+        }
     } else {
-        reply = make_reply(request, wire::not_run, reason::peer_unreachable);
+        result.reply = make_reply(request, wire::not_run, reason::peer_unreachable);
     }
+    record_reply(order, host, slice, result.reply);
+    co_return result;
+}
+
+void dispatcher::record_reply(const dispatch_order& order, const std::string& host, std::uint32_t allowance,
+                              const wire::forward_reply& reply) {
     const auto now = context_.time.now();
     worker_record& record = workers_[host];
     record.in_flight -= record.in_flight > 0 ? 1 : 0;
@@ -255,14 +285,13 @@
     }
     if (reply.has_load()) {
         record_load(record, reply.load(), now);
-        order.allowance->refund(std::min(slice, reply.allowance_left()));
+        order.allowance->refund(std::min(allowance, reply.allowance_left()));
     } else if (reply.outcome() == wire::not_run) {
-        order.allowance->refund(slice);
+        order.allowance->refund(allowance);
     }
     if (reply.has_demand_ratio()) {
         record_demand(order, reply);
     }
-    co_return reply;
 }
 
 // Returns the cause of a retry, or none when the reply is final.
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -2,6 +2,7 @@
 #define DANDELIONMOUNT_REQUEST_DISPATCHER_H
 
 #include "dandelionmount/connection/async_event.h"
+#include "dandelionmount/connection/peer_link.h"
 #include "dandelionmount/process/configuration_store.h"
 #include "dandelionmount/process/membership.h"
 #include "dandelionmount/process/metrics.h"
@@ -15,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -84,8 +86,25 @@
     }
 
 private:
+    /// An attempt that may run still at another host, with which the connection was lost.
+    struct lost_attempt {
+        std::string host;
+        std::shared_ptr<peer_link> link;
+        unsettled_attempt attempt;
+        /// Retries that the attempt was given.
+        std::uint32_t allowance{0};
+    };
+    struct attempt_result {
+        wire::forward_reply reply;
+        std::optional<lost_attempt> lost;
+    };
+
     boost::asio::awaitable<wire::forward_reply> make_attempts(dispatch_order order);
-    boost::asio::awaitable<wire::forward_reply> attempt(const dispatch_order& order, std::string host);
+    boost::asio::awaitable<attempt_result> attempt(const dispatch_order& order, std::string host);
+    boost::asio::awaitable<wire::forward_reply> conclude(const dispatch_order& order, attempt_result last,
+                                                         bool earlier_attempt_may_have_run);
+    void record_reply(const dispatch_order& order, const std::string& host, std::uint32_t allowance,
+                      const wire::forward_reply& reply);
     [[nodiscard]] boost::asio::awaitable<retry_decision>
     decide_retry(const dispatch_order& order, const wire::forward_reply& reply, std::uint32_t& redirects);
     /// Whether another attempt would come too late, or nobody waits for it.
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -64,8 +64,9 @@
     /// Load of the target and of downstream services; nullptr where demand is reported by client account
     /// instead.
     service_pressure* pressure{nullptr};
-    /// Whether senders ask for the outcome of an idempotent request after a lost connection. Where they send
-    /// it to another host instead, its run ends soon after the connection that brought it.
+    /// Whether senders settle an idempotent request as long as any other after a lost connection. Where they
+    /// soon send it to another host instead, its run ends soon after the connection that brought it, unless
+    /// they have settled it on another one.
     bool idempotent_requests_are_settled{true};
     /// Requests that were running when targets crashed; nullptr where they are not tracked.
     crash_monitor* crashes{nullptr};
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -7,6 +7,7 @@
 #include "dandelionmount/connection/peer_server.h"
 #include "dandelionmount/process/peer_directory.h"
 #include "dandelionmount/request/executor.h"
+#include "tests/support/host_process.h"
 #include "tests/support/relay.h"
 #include "tests/support/seed.h"
 
@@ -26,73 +27,24 @@
 namespace asio = boost::asio;
 namespace wire = dandelionmount::wire;
 using std::chrono::milliseconds;
+using tests::host_process;
 
 namespace {
 
-const std::string host_address = "127.0.0.1:18475";
-const std::string target_address = "127.0.0.1:18476";
-constexpr std::uint16_t target_port = 18476;
-
-// One process of the receiving host. After a kill, the next one replaces it.
-struct host_process {
-    host_process(asio::io_context& io, const dm::time_source& time, dm::configuration_store& configuration,
-                 std::uint64_t incarnation, bool idempotent_requests_are_settled)
-        : identity{"receiver", incarnation, "secret"}, target(time),
-          connections(io.get_executor(), time, 100000,
-                      std::make_shared<dm::byte_budget>(dm::byte_budget{1000000})),
-          executor({io.get_executor(), time, counters, configuration, target, connections,
-                    asio::ip::make_address("127.0.0.1"), nullptr, idempotent_requests_are_settled}),
-          server(
-              io.get_executor(), identity, counters,
-              [this](const wire::peer_frame& frame, const dm::peer_id&,
-                     std::shared_ptr<dm::frame_stream> stream) { handle_frame(frame, std::move(stream)); },
-              [this](const std::shared_ptr<dm::frame_stream>& stream) {
-                  if (ends_runs_with_connection) {
-                      executor.handle_stream_end(stream);
-                  }
-              }) {
-        target.announce({"store", target_port, 3, 10, wire::target_ready});
-        REQUIRE(server.listen(host_address));
-    }
-
-    void handle_frame(const wire::peer_frame& frame, std::shared_ptr<dm::frame_stream> stream) {
-        if (frame.has_forward_request()) {
-            executor.accept(frame.forward_request(), std::move(stream));
-        } else if (frame.has_cancel_request()) {
-            executor.cancel(frame.cancel_request());
-        } else if (frame.has_settle_request()) {
-            executor.settle(frame.settle_request(), std::move(stream));
-        } else if (frame.has_reply_ack()) {
-            executor.acknowledge(frame.reply_ack());
-        } else {
-            stream->send(frame);
-        }
-    }
-
-    void kill() {
-        server.stop();
-        executor.close();
-    }
-
-    /// Off to show what the sender does alone.
-    bool ends_runs_with_connection{true};
-    dm::metrics counters;
-    dm::peer_identity identity;
-    dm::local_target target;
-    dm::target_connections connections;
-    dm::executor executor;
-    dm::peer_server server;
-};
+const std::string receiver_ip = "127.0.0.1";
+const std::string host_address = tests::host_address(receiver_ip);
+const std::string target_address = tests::target_address(receiver_ip);
 
 // A sender, a relay that breaks connections, and a receiving host with a target that counts runs.
 struct link_fixture {
-    link_fixture(std::uint64_t seed, bool settles, bool settles_idempotent = true)
-        : idempotent_requests_are_settled(settles_idempotent), random(seed) {
+    link_fixture(std::uint64_t seed, bool settles,
+                 std::optional<dm::duration> idempotent_settle_timeout = std::nullopt)
+        : idempotent_requests_are_settled(!idempotent_settle_timeout), random(seed) {
         REQUIRE(target_server.listen(target_address));
         start_process();
         middle = std::make_unique<tests::relay>(io.get_executor(), host_address);
         const dm::peer_link_context context{io.get_executor(), sender,  time,
-                                            counters,          settles, !settles_idempotent};
+                                            counters,          settles, idempotent_settle_timeout};
         link = std::make_shared<dm::peer_link>(context, "receiver", middle->listen());
     }
 
@@ -110,7 +62,7 @@
         if (!processes.empty()) {
             processes.back()->kill();
         }
-        processes.push_back(std::make_unique<host_process>(io, time, configuration,
+        processes.push_back(std::make_unique<host_process>(io, time, configuration, receiver_ip,
                                                            static_cast<std::uint64_t>(processes.size() + 1),
                                                            idempotent_requests_are_settled));
     }
@@ -141,7 +93,8 @@
             auto timer = std::make_shared<asio::steady_timer>(io, milliseconds(random() % 30));
             timer->async_wait([timer, cancel](const boost::system::error_code&) { cancel->request(); });
         }
-        const auto reply = co_await link->forward(request, time.now() + limit, cancel);
+        const auto result = co_await link->forward(request, time.now() + limit, cancel);
+        const auto& reply = result.reply;
         outcomes[id] = reply.outcome();
         lost_outcomes += reply.outcome() == wire::unknown && reply.reason() == "peer_lost" ? 1 : 0;
         if (reply.outcome() == wire::ran && reply.body() != id) {
@@ -188,9 +141,15 @@
                 request.set_path("/x");
                 request.set_idempotent(idempotent);
                 request.set_remaining_ms(5000);
-                const auto reply =
-                    co_await link->forward(request, time.now() + std::chrono::seconds(5), cancel);
-                outcomes[id] = reply.outcome();
+                const auto deadline = time.now() + std::chrono::seconds(5);
+                auto result = co_await link->forward(request, deadline, cancel);
+                if (result.unsettled && resumes) {
+                    auto reply = co_await link->resume(*result.unsettled, deadline, cancel);
+                    result.reply = std::move(reply);
+                } else if (result.unsettled) {
+                    link->abandon(*result.unsettled, deadline);
+                }
+                outcomes[id] = result.reply.outcome();
             },
             asio::detached);
     }
@@ -230,6 +189,8 @@
     std::vector<std::unique_ptr<host_process>> processes;
     std::unique_ptr<tests::relay> middle;
     std::shared_ptr<dm::peer_link> link;
+    /// Whether an unsettled attempt is resumed, and not abandoned.
+    bool resumes{false};
     /// Minimum duration of each run.
     dm::duration min_run_time{0};
     std::map<std::string, int> runs;
@@ -316,7 +277,7 @@
         fixture.io.run_for(milliseconds(fixture.random() % 8));
         for (auto& process : fixture.processes) {
             // The target keeps announcing itself.
-            process->target.announce({"store", target_port, 3, 10, wire::target_ready});
+            process->announce();
         }
         if (fixture.random() % 25 == 0) {
             switch (faults[fixture.random() % faults.size()]) {
@@ -429,7 +390,7 @@
 // Guards against targets at work on an attempt that was given up: the request was sent to another host, and
 // its caller may have left since.
 TEST_CASE("An attempt that is given up with its connection is cancelled once the connection is open again") {
-    link_fixture fixture(1, true, false);
+    link_fixture fixture(1, true, dm::duration{0});
     fixture.processes.back()->ends_runs_with_connection = false;
     fixture.min_run_time = std::chrono::seconds(3);
     fixture.start_cancellable("given-up", true, std::make_shared<dm::cancel_token>());
@@ -446,7 +407,7 @@
     "elsewhere") {
     for (const bool idempotent : {true, false}) {
         CAPTURE(idempotent);
-        link_fixture fixture(1, true, false);
+        link_fixture fixture(1, true, dm::duration{0});
         fixture.min_run_time = std::chrono::seconds(3);
         fixture.start_cancellable("orphan", idempotent, std::make_shared<dm::cancel_token>());
         fixture.io.run_for(milliseconds(100));
@@ -458,6 +419,34 @@
     }
 }
 
+// Guards against a second run of a request whose first one goes on: its connection was lost, and its host
+// reachable again after a round trip.
+TEST_CASE(
+    "An idempotent request whose connection is lost gets the response of its run if its host is back soon") {
+    link_fixture fixture(1, true, milliseconds(100));
+    fixture.min_run_time = milliseconds(1500);
+    fixture.start_cancellable("cut", true, std::make_shared<dm::cancel_token>());
+    fixture.io.run_for(milliseconds(100));
+    fixture.middle->cut_connections();
+    REQUIRE(fixture.run_until_ended("cut", std::chrono::seconds(3)));
+    CHECK(fixture.outcomes["cut"] == wire::ran);
+    CHECK(fixture.runs["cut"] == 1);
+}
+
+// Guards against 502 for a request whose target is at work: its connection was lost, and it could not be sent
+// to another host.
+TEST_CASE("An unsettled attempt that is resumed gets the response of its run") {
+    link_fixture fixture(1, true, dm::duration{0});
+    fixture.resumes = true;
+    fixture.min_run_time = milliseconds(1500);
+    fixture.start_cancellable("resumed", true, std::make_shared<dm::cancel_token>());
+    fixture.io.run_for(milliseconds(100));
+    fixture.middle->cut_connections();
+    REQUIRE(fixture.run_until_ended("resumed", std::chrono::seconds(3)));
+    CHECK(fixture.outcomes["resumed"] == wire::ran);
+    CHECK(fixture.runs["resumed"] == 1);
+}
+
 // Guards against requests that are broken off after hosts have been restarted in turn: the heartbeats of an
 // ended connection made the next one count as silent, and the link closed it at the next request.
 TEST_CASE("A connection that follows an ended one is not closed for the silence of the ended one") {
@@ -557,7 +546,7 @@
         fixture.time,
         fixture.counters,
         true,
-        false,
+        std::nullopt,
         [&](const std::string&, bool is_reachable) { reachable = is_reachable; }};
     fixture.link->stop();
     fixture.link = std::make_shared<dm::peer_link>(context, "receiver", host_address);
@@ -603,8 +592,9 @@
             wire::forward_request request;
             request.set_id("late");
             request.set_attempt(1);
-            reply = co_await link->forward(request, time.now() + std::chrono::seconds(5),
-                                           std::make_shared<dm::cancel_token>());
+            auto result = co_await link->forward(request, time.now() + std::chrono::seconds(5),
+                                                 std::make_shared<dm::cancel_token>());
+            reply = std::move(result.reply);
         },
         asio::detached);
     const auto until = time.now() + std::chrono::seconds(5);
