Do not let a handshake's timer close the connection after the handshake

After a stall of the process for the handshake's timeout of 1 s, the end of the handshake is read first, and the handler of its timer then closes the connection, with the requests that came on it.

Change: scoped_timeout, whose action does not run any more once the object is destroyed. The new test fails before (no frame arrives on the connection) and passes now. The timer for receiving a request in http_server has the same shape; a test with a stall there passes on the unchanged code, as nothing that the handler could cancel has begun by then, so that timer stays as it is.

--- a/src/dandelionmount/connection/peer_handshake.cpp
+++ b/src/dandelionmount/connection/peer_handshake.cpp
@@ -1,8 +1,9 @@
 #include "dandelionmount/connection/peer_handshake.h"
 
+#include "dandelionmount/connection/scoped_timeout.h"
 #include "dandelionmount/process/crypto.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 
 namespace dandelionmount {
 
@@ -15,21 +16,13 @@
 constexpr std::string_view listening_role = "listening";
 
 // Closes the stream when the handshake exceeds its timeout.
-class handshake_timer {
-public:
-    explicit handshake_timer(frame_stream& stream, const asio::any_io_executor& executor)
-        : timer_(executor, handshake_timeout) {
-        timer_.async_wait([weak = stream.weak_from_this()](const boost::system::error_code& error) {
-            const auto open = weak.lock();
-            if (!error && open) {
-                open->close();
-            }
-        });
-    }
-
-private:
-    asio::steady_timer timer_;
-};
+scoped_timeout limit_handshake(frame_stream& stream, asio::any_io_executor executor) {
+    return scoped_timeout(std::move(executor), handshake_timeout, [weak = stream.weak_from_this()] {
+        if (const auto open = weak.lock()) {
+            open->close();
+        }
+    });
+}
 
 wire::hello make_hello(const peer_identity& self) {
     wire::hello hello;
@@ -77,7 +70,8 @@
 }
 
 asio::awaitable<result<peer_id>> connect_handshake(frame_stream& stream, const peer_identity& self) {
-    const handshake_timer timer(stream, co_await asio::this_coro::executor);
+    const auto executor = co_await asio::this_coro::executor;
+    const auto limit = limit_handshake(stream, executor);
     const wire::hello own = make_hello(self);
     send_hello(stream, own);
     const auto first = co_await stream.read(max_handshake_frame_bytes);
@@ -94,7 +88,8 @@
 }
 
 asio::awaitable<result<peer_id>> accept_handshake(frame_stream& stream, const peer_identity& self) {
-    const handshake_timer timer(stream, co_await asio::this_coro::executor);
+    const auto executor = co_await asio::this_coro::executor;
+    const auto limit = limit_handshake(stream, executor);
     const auto first = co_await stream.read(max_handshake_frame_bytes);
     const auto other = expect_hello(first);
     if (!other) {
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
+#include <thread>
 
 namespace dm = dandelionmount;
 namespace asio = boost::asio;
@@ -151,6 +152,27 @@
     CHECK(fixture.counters.total(dm::event::requests_unanswered) == 1);
 }
 
+// Guards against work for callers that have left: a host that was stalled read the end of a request after the
+// timer for receiving it had expired, and the timer's handler then ended the watch for the caller's
+// departure.
+TEST_CASE(
+    "The request of a caller that disconnects is cancelled though the host was stalled while it arrived") {
+    server_fixture fixture;
+    fixture.run_time = std::chrono::seconds(1);
+    {
+        auto socket = fixture.connect();
+        asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHo")));
+        fixture.io.run_for(milliseconds(20));
+        asio::write(socket, asio::buffer(std::string("st: x\r\n\r\n")));
+        std::this_thread::sleep_for(small_limits().receive_timeout);
+        fixture.io.run_for(milliseconds(50));
+        REQUIRE(fixture.requests == 1);
+    }
+    fixture.run_until_cancelled(milliseconds(500));
+    CHECK(fixture.cancelled == 1);
+    fixture.io.run_for(milliseconds(1100));
+}
+
 // Guards against a watch for the caller's departure that ends with the first bytes of its next request: the
 // request then ran on for nobody.
 TEST_CASE("The request of a caller that sends more and then disconnects is cancelled") {
--- a/tests/connection/peer_server_test.cpp
+++ b/tests/connection/peer_server_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <optional>
+#include <thread>
 
 namespace dm = dandelionmount;
 namespace asio = boost::asio;
@@ -71,6 +72,38 @@
     CHECK(fixture.counters.total(dm::event::peer_strangers) >= 1);
 }
 
+// Guards against connections that are closed right after their handshake, together with the requests on them:
+// a host that was stalled read the end of the handshake after the handshake's timer had expired.
+TEST_CASE("A handshake that ends while its host is stalled leaves the connection open") {
+    peer_fixture fixture;
+    asio::io_context other_io{1};
+    tcp::socket socket(other_io);
+    socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+    const auto stream = std::make_shared<dm::frame_stream>(std::move(socket));
+    const dm::peer_identity other{"friend", 1, "the secret of the fleet"};
+    asio::co_spawn(
+        other_io,
+        [&, stream]() -> asio::awaitable<void> {
+            const auto peer = co_await dm::connect_handshake(*stream, other);
+            CHECK(peer.has_value());
+        },
+        asio::detached);
+    other_io.run_for(milliseconds(20));
+    fixture.io.run_for(milliseconds(50));
+    other_io.restart();
+    other_io.run_for(milliseconds(20));
+    std::this_thread::sleep_for(dm::handshake_timeout);
+    fixture.io.run_for(milliseconds(50));
+    dm::wire::peer_frame frame;
+    frame.mutable_heartbeat()->set_sequence(1);
+    stream->send(frame);
+    other_io.restart();
+    other_io.run_for(milliseconds(20));
+    fixture.io.run_for(milliseconds(50));
+    CHECK(fixture.frames == 1);
+    stream->close();
+}
+
 TEST_CASE("A recorded handshake can't be replayed") {
     peer_fixture fixture;
     // Records everything that a legitimate host sends, through a relay between it and the server.
