Do not write the record of a host that has left

A write that waited when the host removed its record, or that was still under way then, took effect after the removal: the host stayed listed until another one removed it, 20 s after it had become unreachable.

Change: the task tests again after it has slept, and the record is removed a second time when a write had been sent before the first removal.

--- a/src/dandelionmount/process/fleet_registry.cpp
+++ b/src/dandelionmount/process/fleet_registry.cpp
@@ -319,11 +319,16 @@
     std::uniform_real_distribution<double> draw(0.5, 1.0);
     while (!is_leaving_ && stored_own_record_ != write_host_record(context_.members.self)) {
         co_await sleep_for(context_.executor, write_delay);
+        if (is_leaving_) {
+            break;
+        }
         const std::string text = write_host_record(context_.members.self);
         keyed_record record{key_of_host(context_.members.self.host()), text};
         context_.counters.count_store_call(store_call::own_record);
         const auto era = follower_.era();
+        is_write_sent_ = true;
         const auto appended = co_await context_.store.append(context_.topic, std::move(record), std::nullopt);
+        is_write_sent_ = false;
         if (appended) {
             acknowledged_records_.insert(text);
             backoff = min_write_backoff;
@@ -342,18 +347,25 @@
     is_writing_ = false;
 }
 
+// A write that was sent before the removal may take effect after it; the record is then removed again.
 asio::awaitable<void> fleet_registry::leave() {
     is_leaving_ = true;
     for (int attempt = 0; attempt < max_leave_attempts; ++attempt) {
+        const bool may_be_overwritten = is_write_sent_;
         keyed_record record{key_of_host(context_.members.self.host()), std::nullopt};
         context_.counters.count_store_call(store_call::leave);
         const auto appended = co_await context_.store.append(context_.topic, std::move(record), std::nullopt);
-        if (appended) {
+        if (appended && !may_be_overwritten) {
             has_left_ = true;
             co_return;
         }
-        log_event(log_level::warning, "own host record could not be removed",
-                  {{"cause", appended.error().message}});
+        if (!appended) {
+            log_event(log_level::warning, "own host record could not be removed",
+                      {{"cause", appended.error().message}});
+        }
+        while (is_write_sent_) {
+            co_await sleep_for(context_.executor, write_delay);
+        }
     }
 }
 
--- a/src/dandelionmount/process/fleet_registry.h
+++ b/src/dandelionmount/process/fleet_registry.h
@@ -87,6 +87,8 @@
     /// Hosts whose records the store has lost, and since when; they write them again if they live.
     std::map<std::string, steady_time, std::less<>> missing_since_;
     bool is_writing_{false};
+    /// Whether the store has not answered the last write of the own record yet.
+    bool is_write_sent_{false};
     bool is_proposing_{false};
     bool is_restoring_{false};
     bool is_leaving_{false};
--- a/tests/process/fleet_registry_test.cpp
+++ b/tests/process/fleet_registry_test.cpp
@@ -3,6 +3,8 @@
 #include "dandelionmount/process/host_record.h"
 #include "tests/support/memory_store.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 #include <memory>
 
@@ -90,6 +92,27 @@
     CHECK(fixture.store.appends == 0);
 }
 
+// Guards against a host that has left and is listed again: a write that waited or was under way when it left
+// took effect after its removal.
+TEST_CASE("A host that has left does not bring its record back") {
+    for (const int sent_before_ms : {0, 50}) {
+        CAPTURE(sent_before_ms);
+        registry_fixture fixture;
+        fixture.store.put("secret", "1");
+        registry_host host(fixture.io, fixture.store, "a");
+        fixture.run(2500);
+        REQUIRE(!fixture.stored("a").empty());
+        host.members.self.set_target(dm::wire::target_draining);
+        fixture.store.next_append_delay = milliseconds(sent_before_ms == 0 ? 0 : 150);
+        host.registry.publish();
+        fixture.run(sent_before_ms);
+        boost::asio::co_spawn(fixture.io, host.registry.leave(), boost::asio::detached);
+        fixture.run(500);
+        CHECK(host.registry.has_left());
+        CHECK(fixture.stored("a").empty());
+    }
+}
+
 // Guards against a target that has left and is in use again, as its host was restarted and a delayed
 // announcement of the target arrives after that.
 TEST_CASE("A host that starts again learns from its record which process of its target has left") {
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace tests {
@@ -54,6 +55,10 @@
     boost::asio::awaitable<dandelionmount::result<dandelionmount::append_outcome>>
     append(std::string, dandelionmount::keyed_record record, std::optional<std::uint64_t> at) override {
         ++appends;
+        const auto delay = std::exchange(next_append_delay, {});
+        if (delay > dandelionmount::duration{0}) {
+            co_await dandelionmount::sleep_for(io_.get_executor(), delay);
+        }
         if (refuses) {
             co_return dandelionmount::failure{"status 503"};
         }
@@ -110,6 +115,8 @@
     std::size_t max_records_per_read{100};
     int calls{0};
     int appends{0};
+    /// How long the next append takes; later ones overtake it.
+    dandelionmount::duration next_append_delay{};
     /// Appends take effect but are answered with a failure.
     bool loses_answers{false};
 
