--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -1,6 +1,7 @@
 """Randomized soak test: real hosts under faults drawn from a seed, checked by what callers and targets receive.
 
-    python3 tests/system/soak.py --seed N --seconds S [--hosts H] [--seeds A,B-C] [--old-copies] [--regressions]
+    python3 tests/system/soak.py --seed N --seconds S [--hosts H] [--seeds A,B-C] [--old-copies] [--rolling-stops]
+                                 [--regressions]
 
 Prints one line for each violated guarantee, and exits with 1 if there was any:
 
@@ -11,6 +12,7 @@
 REFUSED  an unsafe request got a status that promises that it has not run, and ran.
 MIXED    a success without the complete body that the target sent for this request.
 CHANGED  a target received another body than the caller sent.
+REPEATED with rolling stops, which lose no connection: a request ran more than once.
 STOP     a host did not exit with 0 and in time after SIGTERM.
 DIED     a host exited by itself, or did not start.
 
@@ -52,6 +54,13 @@
 STOP_SLACK_S = 0.3
 START_LIMIT_S = 5
 READINESS_INTERVAL_S = 0.5
+# Rolling stops: how long all callers send, and how long they pause. Tasks of ended connections between hosts sleep up
+# to 3 s, and 0.7 s of silence end a connection; new ones send no heartbeat for 3 s.
+ROLLING_HOSTS = (0, 1)
+BURST_S = 2
+PAUSE_RANGE_S = (3.8, 5)
+# The last stop begins this long before callers send again.
+LAST_STOP_S = 0.3
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 GATEWAY_ERROR_STATUSES = (502, 504)
 SILENCE = "silence after its time budget"
@@ -104,6 +113,8 @@
                 self.host = self.home_host if self.random.random() < 0.7 else self.random.randrange(self.soak.hosts)
                 time.sleep(0.05)
                 continue
+            while self.soak.callers_pause and not self.soak.is_finished:
+                time.sleep(0.02)
             self.exchange()
             time.sleep(self.random.choice((0, 0, 0.02, 0.2)))
 
@@ -205,8 +216,10 @@
 class Soak:
     """The run of one seed: a fleet, its callers and its faults."""
 
-    def __init__(self, seed, hosts, has_old_copies=False):
-        self.seed, self.hosts, self.has_old_copies = seed, hosts, has_old_copies
+    def __init__(self, seed, hosts, has_old_copies=False, has_rolling_stops=False):
+        self.seed, self.hosts = seed, hosts
+        self.has_old_copies, self.has_rolling_stops = has_old_copies, has_rolling_stops
+        self.callers_pause = False
         self.random = random.Random(seed)
         self.lock = threading.Lock()
         self.counts, self.runs, self.refused = {}, {}, set()
@@ -220,6 +233,10 @@
         self.version = 3
         target = type("Target", (SoakTarget,), {"soak": self})
         services = ["front"] + ["back"] * (hosts - 1)
+        if has_rolling_stops:
+            # A request that can go to neither back host fails. Of six hosts, these two are no rate allocators, so that
+            # connections to them are idle while callers pause.
+            services = ["back"] * len(ROLLING_HOSTS) + ["front"] * (hosts - len(ROLLING_HOSTS))
         self.fleet = StoreFleet(f"127.{100 + seed % 100}", services, make_target=target)
         self.started_at = time.monotonic()
 
@@ -289,6 +306,8 @@
         if 200 <= status < 300 and not self.is_complete(request["id"], headers, response):
             self.report("MIXED", request["id"], place,
                         f"{status} with {len(response)} bytes; {self.describe(request, runs)}")
+        if self.has_rolling_stops and len(runs) > 1 and not self.is_exempt(request, runs):
+            self.report("REPEATED", request["id"], place, f"{status}; {self.describe(request, runs)}")
         if status in GATEWAY_ERROR_STATUSES and runs and not self.is_exempt(request, runs):
             self.report("LOST", request["id"], place, f"{status} in place of its run; {self.describe(request, runs)}")
 
@@ -399,6 +418,32 @@
             was_faulty, self.store_is_faulty = self.store_is_faulty, True
         return not was_faulty
 
+    def roll_stops(self):
+        """Stops the hosts of the back service in turn while callers pause, with the store away so that they stay listed,
+        and another host as all callers send again."""
+        rng = random.Random(self.seed + 2000)
+        while not self.is_finished:
+            time.sleep(BURST_S)
+            self.callers_pause = True
+            began = time.monotonic()
+            for index in rng.sample(ROLLING_HOSTS, len(ROLLING_HOSTS)):
+                self.stop_when_available(index, rng.uniform(0, 0.5))
+                time.sleep(rng.uniform(0.3, 1.2))
+            if self.claim_store():
+                self.start(self.inject_store_fault, "down", rng.uniform(1, 2))
+            self.fleet.wait_for(lambda: self.busy_hosts.isdisjoint(ROLLING_HOSTS), 2 * STOP_WAIT_S)
+            time.sleep(max(0, began + rng.uniform(*PAUSE_RANGE_S) - LAST_STOP_S - time.monotonic()))
+            self.stop_when_available(rng.randrange(len(ROLLING_HOSTS), self.hosts), rng.uniform(0, 0.5))
+            time.sleep(LAST_STOP_S)
+            self.callers_pause = False
+            self.count("rolling stops")
+
+    def stop_when_available(self, index, pause_s):
+        self.fleet.wait_for(lambda: index not in self.busy_hosts, 2 * STOP_WAIT_S)
+        if not self.is_finished:
+            self.busy_hosts.add(index)
+            self.start(self.stop_host, index, pause_s, None)
+
     def inject_random_fault(self):
         rng = self.random
         available_hosts = [index for index in range(self.hosts) if index not in self.busy_hosts]
@@ -457,10 +502,12 @@
             self.start(self.poll_readiness, index)
         if self.has_old_copies:
             self.start(self.restore_old_copies)
+        if self.has_rolling_stops:
+            self.start(self.roll_stops)
         next_fault = self.started_at + 0.5
         while time.monotonic() - self.started_at < seconds:
             self.report_and_restart_dead_hosts()
-            if time.monotonic() >= next_fault:
+            if time.monotonic() >= next_fault and not self.has_rolling_stops:
                 kind = self.inject_random_fault()
                 self.count(kind)
                 next_fault = time.monotonic() + self.random.uniform(0.2, 1.5)
@@ -487,8 +534,8 @@
 def read_regressions():
     path = os.path.join(os.path.dirname(os.path.abspath(__file__)), "soak_seeds.txt")
     with open(path, encoding="utf-8") as file:
-        rows = [line.split()[:3] for line in file if line.strip() and not line.startswith("#")]
-    return [(int(seed), int(hosts), float(seconds)) for seed, hosts, seconds in rows]
+        rows = [line.split() for line in file if line.strip() and not line.startswith("#")]
+    return [(int(row[0]), int(row[1]), float(row[2]), "--old-copies" in row, "--rolling-stops" in row) for row in rows]
 
 
 def main():
@@ -498,13 +545,15 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--old-copies", action="store_true", help="the store also comes back from older copies")
+    parser.add_argument("--rolling-stops", action="store_true",
+                        help="stops in turn around pauses of all callers, in place of random faults")
     parser.add_argument("--regressions", action="store_true", help="the seeds of soak_seeds.txt, which failed once")
     arguments = parser.parse_args()
-    cases = [(seed, arguments.hosts, arguments.seconds)
+    cases = [(seed, arguments.hosts, arguments.seconds, arguments.old_copies, arguments.rolling_stops)
              for seed in read_seeds(arguments.seeds or str(arguments.seed))]
     if arguments.regressions:
         cases = read_regressions()
-    violations = sum(Soak(seed, hosts, arguments.old_copies).run(seconds) for seed, hosts, seconds in cases)
+    violations = sum(Soak(seed, hosts, *options).run(seconds) for seed, hosts, seconds, *options in cases)
     sys.exit(1 if violations else 0)
 
 
