--- a/review/standins2.py
+++ b/review/standins2.py
@@ -196,6 +196,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.beats = True
+        self.is_leaving = False
         self.lock = threading.Condition()
         self.running = self.waiting = 0
         # Each run: request id, start, end or nothing while at work, and the outcome.
@@ -313,6 +314,8 @@
         self.send_response(status)
         for name, value in headers.items():
             self.send_header(name, value)
+        if self.server.is_leaving:
+            self.send_header("Server-Leaving", "1")
         self.send_header("Keep-Alive", f"timeout={WORKER_IDLE_S}")
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
