--- a/review/10/case.py
+++ b/review/10/case.py
@@ -13,9 +13,9 @@
 KEY = "6wsjnbanfqasnmgkcuyj"
 BUDGET_S = 6.0
 # How late the last heartbeat before the deregistration arrives.
-LATE_BEAT_S = 4.5
+LATE_BEAT_S = 5.0
 # How long the worker goes on serving after the acknowledgement.
-STAYS_S = 7.0
+STAYS_S = 7.5
 
 
 def main():
@@ -36,7 +36,7 @@
     worker = machine.worker
     if s2.TROUBLE:
         machine.signal(signal.SIGTERM)
-        time.sleep(1.5)
+        time.sleep(0.9)
     worker.beats = False
     late_beat = worker.make_heartbeat()
     beat_sent = s2.now()
@@ -59,7 +59,7 @@
     time.sleep(1)
     for client in clients:
         client.is_stopping = True
-    time.sleep(1.5)
+    time.sleep(0.9)
     # The machine is in touch again from the stable window after its start on.
     from_s = max(left + s2.DRAIN_S, machine.starts[-1] + s2.STABLE_WINDOW_S)
     late = [run for run in worker.runs if run["began"] > from_s]
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,16 +11,16 @@
 
 KEY = "6wsjnbanfqasnmgkcuyj"
 BUDGET_S = 10.0
-TIMEOUT_S = 7.0
-# The worker serves 22 / 0.9 requests a second, and each client sends the next one after its answer, so that about 120
-# requests wait for 5 s, well within their time.
+TIMEOUT_S = 8.5
+# The worker serves about 20 / 1.1 requests a second, and each client sends the next one after its answer, so that about 120
+# requests wait for 6.5 s, within their time.
 CLIENTS = 145
 SLOTS = 22
-WORK_S = 0.9
-USUAL_S = 18.0
+WORK_S = 1.1
+USUAL_S = 20.0
 # Time over which the clients send their first requests.
 SPREAD_S = 5.0
-AFTER_S = 12.0
+AFTER_S = 10.0
 
 
 def is_loss(deployment, result, stop):
@@ -40,7 +40,7 @@
 
 
 def main():
-    routes = [s2.route("catalog", "records", timeout="7s", latency="7s", public=True)]
+    routes = [s2.route("catalog", "records", timeout="8500ms", latency="8500ms", public=True)]
     tenants = [{"name": "one", "apiKeys": [KEY], "priority": 1}]
     deployment = s2.Deployment(["desk", "desk", "records"], routes, tenants, slots=SLOTS, queue=SLOTS,
                                work_s=WORK_S, zones=["zone-a", "zone-a", "zone-b"])
