Take a close-delimited response that ends in a reset for lost while its request is being written

Cause: the request is written concurrently with the reading of the response. The kernel reports a reset to one operation only. If that was the write, the next read saw an end of stream, which completes a close-delimited response, and the error of the write was dropped but for the reuse of the connection.

Change: the error of the write is kept. A close-delimited response counts as complete only if no write failed, or if one failed with a broken pipe: the kernel reports that after the target has closed its side, so that all of the response had arrived by then. A response with a length or in chunks proves its end itself and is delivered as before, also after a reset.

Kernel, by hand: after a reset the first of send and recv gets ECONNRESET; if that is send, recv returns the data and then 0.

--- a/src/dandelionmount/connection/target_connection.cpp
+++ b/src/dandelionmount/connection/target_connection.cpp
@@ -46,6 +46,13 @@
     return is_too_large(error) ? reason::target_answer_too_large : reason::target_lost;
 }
 
+// Whether a failed write means that the connection was lost before the target closed it. The kernel reports a
+// loss once: if the write gets it, reads after it see an end of stream. After the target has closed the
+// connection, the write gets a broken pipe instead.
+bool was_lost_before_close(const boost::system::error_code& write_error) {
+    return write_error && write_error != asio::error::broken_pipe;
+}
+
 bool has_header(const http_response& response, const std::string& name) {
     return !name.empty() && response.count(name) > 0;
 }
@@ -264,6 +271,7 @@
     http::async_write(conn->stream, outgoing->message,
                       [conn, outgoing](const boost::system::error_code& error, std::size_t) {
                           outgoing->written = !error;
+                          outgoing->write_error = error;
                       });
     outcome = co_await await_response(conn, request, outgoing, deadline);
     *active = false;
@@ -298,8 +306,12 @@
                 continue;
             }
         }
-        const bool usable = stray_responses <= max_stray_responses && belongs_to(response.message, request) &&
-                            (!response.close_delimited || protocol_.accepts_close_delimited_responses);
+        // A close-delimited response can't be told from a truncated one, unless the target always signals
+        // truncation by a reset.
+        const bool is_complete = !response.close_delimited || (protocol_.accepts_close_delimited_responses &&
+                                                               !was_lost_before_close(outgoing->write_error));
+        const bool usable =
+            stray_responses <= max_stray_responses && belongs_to(response.message, request) && is_complete;
         if (usable && signal_action_) {
             auto signals = read_signals(response.message);
             signals.instance = outgoing->instance;
@@ -311,8 +323,6 @@
         } else {
             conn->stream.close();
         }
-        // A close-delimited response can't be told from a truncated one, unless the target always signals
-        // truncation by a reset.
         outcome.reply = usable ? convert_response(request, std::move(response.message))
                                : make_reply(request, wire::unknown, reason::target_lost);
         co_return outcome;
--- a/src/dandelionmount/connection/target_connection.h
+++ b/src/dandelionmount/connection/target_connection.h
@@ -47,9 +47,10 @@
 
     /// Sends the request to the target and waits for the complete response. The outcome is `ran` only for a
     /// framed, complete response that belongs to the request (close-delimited only where the protocol accepts
-    /// that), and `not_run` only when the request was not sent or the target says so. An idempotent request
-    /// that an idle connection loses without a response is sent again, and the outcome is that of the second
-    /// attempt. Cancellation closes the connection, by which the target can detect it.
+    /// that and the target closed the connection without a reset), and `not_run` only when the request was
+    /// not sent or the target says so. An idempotent request that an idle connection loses without a response
+    /// is sent again, and the outcome is that of the second attempt. Cancellation closes the connection, by
+    /// which the target can detect it.
     boost::asio::awaitable<wire::forward_reply> call(target_address target,
                                                      const wire::forward_request& request,
                                                      steady_time deadline,
@@ -82,6 +83,8 @@
         http_request message;
         /// Whether it has been written completely.
         bool written{false};
+        /// Why it could not be written.
+        boost::system::error_code write_error;
         /// The process that it is meant for, and when it was sent.
         std::string instance;
         steady_time sent_at;
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -389,6 +389,43 @@
     CHECK(fixture.connections == 2);
 }
 
+// Guards against a truncated response that is taken for a complete one: while a long request is being
+// written, the kernel may report a reset to the write only, and an end of stream to the read.
+TEST_CASE("A close-delimited response that ends in a reset is not complete") {
+    dm::http_protocol protocol;
+    protocol.accepts_close_delimited_responses = true;
+    const auto check = [&protocol](std::size_t request_bytes, milliseconds pause) {
+        CAPTURE(request_bytes);
+        CAPTURE(pause.count());
+        const auto call = [&](const std::string& response, tests::connection_end end) {
+            target_fixture fixture("HTTP/1.1 200 OK\r\n" + response, false, protocol);
+            fixture.end_after_response = end;
+            fixture.pause = pause;
+            fixture.body = std::string(request_bytes, 'x');
+            return fixture.call(false, milliseconds(3000));
+        };
+        using tests::connection_end;
+        const auto lost = call("\r\npart", connection_end::reset);
+        CHECK(lost.outcome() == wire::unknown);
+        CHECK(lost.reason() == "target_lost");
+        const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+        CHECK(call("Content-Length: 9\r\n\r\npart", connection_end::reset).outcome() == wire::unknown);
+        CHECK(call(chunked + "4\r\npart\r\n", connection_end::reset).outcome() == wire::unknown);
+        // Complete before the connection ended.
+        CHECK(call("Content-Length: 2\r\n\r\nok", connection_end::reset).body() == "ok");
+        CHECK(call(chunked + "2\r\nok\r\n0\r\n\r\n", connection_end::reset).body() == "ok");
+        CHECK(call("\r\nok", connection_end::half_close).body() == "ok");
+        CHECK(call("\r\nok", connection_end::half_close_and_reset).body() == "ok");
+    };
+    // More than the buffers of an unread connection hold.
+    constexpr std::size_t long_request_bytes = 12UL * 1024 * 1024;
+    for (const std::size_t request_bytes : {std::size_t{0}, long_request_bytes}) {
+        // The response has or has not been read when the connection ends.
+        check(request_bytes, milliseconds(20));
+        check(request_bytes, milliseconds(0));
+    }
+}
+
 TEST_CASE("What a target says of itself is read from whole responses, with the process that said it") {
     dm::http_protocol protocol;
     protocol.rate_limit_header = "X-Rate";
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -16,6 +16,9 @@
 
 namespace tests {
 
+/// How a server ends a connection on which it has not read the whole request.
+enum class connection_end { none, half_close, reset, half_close_and_reset };
+
 /// TCP server that sends a fixed response after each read, then keeps or closes the connection.
 struct raw_server {
     explicit raw_server(std::string text, bool closes = false)
@@ -49,6 +52,10 @@
             if (closes_after_response) {
                 co_return;
             }
+            if (end_after_response != connection_end::none) {
+                co_await end_connection(socket);
+                co_return;
+            }
             if (!repeated.empty()) {
                 co_await dandelionmount::sleep_for(io.get_executor(), pause);
                 co_await send_repeatedly(socket);
@@ -61,6 +68,20 @@
         }
     }
 
+    boost::asio::awaitable<void> end_connection(boost::asio::ip::tcp::socket& socket) {
+        co_await dandelionmount::sleep_for(io.get_executor(), pause);
+        if (end_after_response != connection_end::reset) {
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+        }
+        if (end_after_response != connection_end::half_close) {
+            socket.set_option(boost::asio::socket_base::linger(true, 0));
+            socket.close();
+            co_return;
+        }
+        boost::asio::steady_timer keep_open(io, std::chrono::hours(1));
+        co_await keep_open.async_wait(dandelionmount::as_result);
+    }
+
     boost::asio::awaitable<void> send_response(boost::asio::ip::tcp::socket& socket) {
         const std::size_t piece_bytes = sends_bytewise ? 1 : std::max<std::size_t>(response.size(), 1);
         for (std::size_t sent_bytes = 0; sent_bytes < response.size(); sent_bytes += piece_bytes) {
@@ -95,12 +116,14 @@
     boost::asio::ip::tcp::acceptor acceptor{io};
     std::string response;
     bool closes_after_response;
+    connection_end end_after_response{connection_end::none};
     /// Whether to stop reading after the first read, and keep the connection open.
     bool reads_once{false};
     /// Whether to send the response one byte at a time, 1 ms apart.
     bool sends_bytewise{false};
     /// Bytes sent repeatedly, `pause` after the response; none by default.
     std::string repeated;
+    /// Between the response and what follows it.
     std::chrono::milliseconds pause{0};
     std::size_t max_sent_bytes{4UL * 1024 * 1024};
     int connections{0};
--- /dev/null
+++ b/tests/system/broken_responses_test.py
@@ -0,0 +1,54 @@
+"""Broken responses of a target: what a caller receives through two hosts, in real processes."""
+
+import unittest
+
+from store_fleet import KEY, RawTargetServer, StoreFleet
+
+# More than the buffers of an unread connection hold.
+LONG_REQUEST_BYTES = 12 * 1024 * 1024
+
+
+class BrokenResponsesTest(unittest.TestCase):
+    """A caller, two hosts, and at the second host the target of the service that is called."""
+
+    def setUp(self):
+        self.fleet = StoreFleet("127.91", ["front", "back"], make_target=RawTargetServer)
+        self.addCleanup(self.fleet.stop)
+        self.assertTrue(self.fleet.wait_for(lambda: self.fleet.request(0, "/read/x") is not None))
+        self.fleet.configure(3, [KEY], timeout="5000ms", max_body_bytes=2 * LONG_REQUEST_BYTES)
+        self.assertTrue(self.fleet.wait_connected())
+        self.target = self.fleet.targets[1]
+
+    def send(self, path, request_bytes):
+        """Returns the status and the body of the response; None and None if the connection ended without one."""
+        response = self.fleet.request(0, path, "POST", body=b"x" * request_bytes, **{"X-Request-Deadline": "5000"})
+        return (response.status, response.body) if response else (None, None)
+
+    def check(self, raw_response, resets, expected):
+        self.target.raw_response = raw_response
+        self.target.resets = resets
+        for path in ("/read/x", "/write/x"):
+            for request_bytes in (0, LONG_REQUEST_BYTES):
+                with self.subTest(response=raw_response, resets=resets, path=path, request_bytes=request_bytes):
+                    runs = len(self.target.runs)
+                    status, body = self.send(path, request_bytes)
+                    self.assertEqual((status, body if status == 200 else None), expected)
+                    self.assertGreater(len(self.target.runs), runs)
+
+    # Guards against a part of a response that callers take for the whole: a reset that arrives while a long request
+    # is still being written may look like the end of the response.
+    def test_a_response_that_ends_in_a_reset_before_it_is_complete_is_a_502(self):
+        self.check(b"\r\npart", True, (502, None))
+        self.check(b"Content-Length: 9\r\n\r\npart", True, (502, None))
+        self.check(b"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", True, (502, None))
+
+    def test_a_complete_response_is_delivered_however_the_connection_ends(self):
+        whole = (200, b"whole")
+        self.check(b"\r\nwhole", False, whole)
+        for resets in (False, True):
+            self.check(b"Content-Length: 5\r\n\r\nwhole", resets, whole)
+            self.check(b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", resets, whole)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/store_fleet.py
+++ b/tests/system/store_fleet.py
@@ -27,7 +27,7 @@
     daemon_threads = True
     request_queue_size = 128
 
-    def __init__(self, ip, service, instance):
+    def __init__(self, ip, service, instance, handler=None):
         self.runs = []
         self.service_time_s = 0.0
         self.response_body = service.encode()
@@ -39,7 +39,7 @@
         self.sequence = 0
         self.announces = True
         self.ip = ip
-        super().__init__((ip, TARGET_PORT), TargetHandler)
+        super().__init__((ip, TARGET_PORT), handler or TargetHandler)
         threading.Thread(target=self.serve_forever, args=(0.02,), daemon=True).start()
 
     def respond(self, path, headers, body):
@@ -135,6 +135,42 @@
         pass
 
 
+class RawTargetServer(TargetServer):
+    """A target that sends fixed bytes as its response before it reads the body of a request, and then ends the
+    connection."""
+
+    # After the request id and the signature, which stand first in the head.
+    raw_response = b""
+    status_line = b"HTTP/1.1 200 OK"
+    # Whether the connection ends with a reset or is closed in order.
+    resets = False
+    # How long the response is on its way before the connection ends.
+    pause_s = 0.1
+
+    def __init__(self, ip, service, instance):
+        super().__init__(ip, service, instance, RawTargetHandler)
+
+
+class RawTargetHandler(TargetHandler):
+    def do_GET(self):
+        server = self.server
+        server.runs.append((self.headers["X-Request-Id"], dict(self.headers), b""))
+        head = server.status_line + f"\r\nX-Request-Id: {self.headers['X-Request-Id']}\r\n".encode()
+        self.connection.sendall(head + b"X-Response-Signature: s\r\n" + server.raw_response)
+        time.sleep(server.pause_s)
+        self.close_connection = True
+        if server.resets:
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.connection.close()
+            return
+        self.connection.shutdown(socket.SHUT_WR)
+        # A close with unread bytes would reset the connection.
+        while self.connection.recv(65536):
+            pass
+
+    do_POST = do_GET
+
+
 def encode_record(key, value):
     """One record of a keyed topic, prefixed with its length."""
     content = bytes([len(key)]) + key.encode() + value.encode()
@@ -244,7 +280,8 @@
                 target.announce()
             time.sleep(0.15)
 
-    def configure(self, version, keys, rate=1000, burst=1000, timeout="2000ms", extra_routes=()):
+    def configure(self, version, keys, rate=1000, burst=1000, timeout="2000ms", extra_routes=(),
+                  max_body_bytes=1000000):
         """Writes a configuration with safe and unsafe routes to the store, as operators do."""
         routes = []
         for name, kind, service in (("read", "safe", "back"), ("write", "unsafe", "back"), ("own", "safe", "front"),
@@ -253,7 +290,7 @@
                            "timeout": timeout, "targetLatency": "1s", "priority": 1, "service": service,
                            "maxAttempts": 2, "public": False})
         document = {"version": version, "routes": routes, "services": [{"name": "back"}, {"name": "front"}],
-                    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeout": "3000ms",
+                    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": max_body_bytes, "headerTimeout": "3000ms",
                                "idleTimeout": "15000ms"},
                     "tenants": [{"name": "one", "apiKeys": keys, "priority": 1, "requestsPerS": rate,
                                  "burst": burst}]}
@@ -265,13 +302,13 @@
     def set_fault(self, **fields):
         assert exchange(self.store_address, "POST", "/fault", {}, json.dumps(fields)).status == 200
 
-    def request(self, index, path, method="GET", key=KEY, request_id=None, **headers):
+    def request(self, index, path, method="GET", key=KEY, request_id=None, body=None, **headers):
         fields = {"Host": "one.example", "X-Request-Id": request_id or os.urandom(8).hex(),
                   "X-Request-Deadline": "2000"}
         if key:
             fields["X-Credential"] = key
         fields.update(headers)
-        return exchange(f"{self.ips[index]}:{CALLER_PORT}", method, path, fields)
+        return exchange(f"{self.ips[index]}:{CALLER_PORT}", method, path, fields, body)
 
     def is_ready(self, index):
         response = exchange(f"{self.ips[index]}:{READINESS_PORT}", "GET", "/v1/ready")
