Abandon a response with a status below 100 at once

A target that sent status 000 never got it through to a caller here, but callers were held until their deadline, or until the target closed the connection (3 s in the test, for a response that had arrived at once), and a second message on the connection was taken for the answer: 200.

Cause: the parser accepts any three digits, and the receiver took every status below 200 for that of an interim response, which is skipped.

Change: a status below 100 is an error of the response, as for bytes that are none: the connection is closed, and the outcome is unknown (502). The receiver is shared, so it holds for the clients of the store, the log and the operators, too. Statuses from 600 on are passed on as before.

Evidence, code before, in the real processes: - target_connection_test, "A response with a status below 100 is abandoned at once": failed with reason deadline, and with the 200 that followed. - system_broken_responses, test_a_response_with_status_000_is_a_502_at_once: failed 3 of 3, 3.00 s and 200. With this change both passed, as did the suite `connection` (82 cases) and all of system_broken_responses.

--- a/src/dandelionmount/connection/response_receiver.cpp
+++ b/src/dandelionmount/connection/response_receiver.cpp
@@ -21,6 +21,8 @@
 constexpr std::string_view version_prefix = "HTTP/1.";
 // Most responses arrive whole in one read of this size.
 constexpr std::size_t read_bytes = 4096;
+// Statuses below are invalid, those from here to `success` are of interim responses.
+constexpr unsigned informational = 100;
 constexpr unsigned success = 200;
 
 std::string_view buffered_text(const beast::flat_buffer& buffer) {
@@ -44,6 +46,10 @@
     }
     error_code error;
     buffer.consume(parser.put(buffer.data(), error));
+    // The parser accepts any three digits.
+    if (parser.is_header_done() && parser.get().result_int() < informational) {
+        return make_error_code(http::error::bad_status);
+    }
     return error == http::error::need_more ? error_code{} : error;
 }
 
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -122,6 +122,27 @@
     CHECK(fixture.call(false).body() == "ok");
 }
 
+// Guards against an invalid status that is taken for that of an interim response: the call would wait for the
+// final one until its deadline, or take what follows for it.
+TEST_CASE("A response with a status below 100 is abandoned at once") {
+    dm::http_protocol protocol;
+    protocol.accepts_close_delimited_responses = true;
+    for (const std::string_view status : {"000 ", "000 OK", "001 OK", "099 Continue"}) {
+        const std::string start = "HTTP/1.1 " + std::string(status) + "\r\n";
+        const std::string framed = start + "Content-Length: 2\r\n\r\nno";
+        const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        for (const std::string& text : {framed, framed + final, start + "\r\nno", start + "\r\n" + final}) {
+            CAPTURE(text);
+            target_fixture fixture(text, false, protocol);
+            const auto reply = fixture.call(false, milliseconds(1000));
+            CHECK(reply.outcome() == wire::unknown);
+            CHECK(reply.reason() == "target_lost");
+            fixture.io.run_for(milliseconds(50));
+            CHECK(fixture.closed_by_client == 1);
+        }
+    }
+}
+
 // Guards against a parser that waits for more bytes although the first ones can't start a response.
 TEST_CASE("Bytes that can't start a response are abandoned at once") {
     for (const std::string_view text : {"g", "garbage", "HTTP/2", "\r\nHTTP/1.1 200 OK\r\n"}) {
--- a/tests/system/broken_responses_test.py
+++ b/tests/system/broken_responses_test.py
@@ -1,11 +1,14 @@
 """Broken responses of a target: what a caller receives through two hosts, in real processes."""
 
+import time
 import unittest
 
-from store_fleet import KEY, RawTargetServer, StoreFleet
+from store_fleet import KEY, REQUEST_ID_PLACEHOLDER, RawTargetServer, StoreFleet
 
 # More than the buffers of an unread connection hold.
 LONG_REQUEST_BYTES = 12 * 1024 * 1024
+FIELDS = b"X-Request-Id: " + REQUEST_ID_PLACEHOLDER + b"\r\nX-Response-Signature: s\r\n"
+START = b"HTTP/1.1 200 OK\r\n" + FIELDS
 
 
 class BrokenResponsesTest(unittest.TestCase):
@@ -38,16 +41,29 @@
     # Guards against a part of a response that callers take for the whole: a reset that arrives while a long request
     # is still being written may look like the end of the response.
     def test_a_response_that_ends_in_a_reset_before_it_is_complete_is_a_502(self):
-        self.check(b"\r\npart", True, (502, None))
-        self.check(b"Content-Length: 9\r\n\r\npart", True, (502, None))
-        self.check(b"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", True, (502, None))
+        self.check(START + b"\r\npart", True, (502, None))
+        self.check(START + b"Content-Length: 9\r\n\r\npart", True, (502, None))
+        self.check(START + b"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", True, (502, None))
 
     def test_a_complete_response_is_delivered_however_the_connection_ends(self):
         whole = (200, b"whole")
-        self.check(b"\r\nwhole", False, whole)
+        self.check(START + b"\r\nwhole", False, whole)
         for resets in (False, True):
-            self.check(b"Content-Length: 5\r\n\r\nwhole", resets, whole)
-            self.check(b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", resets, whole)
+            self.check(START + b"Content-Length: 5\r\n\r\nwhole", resets, whole)
+            self.check(START + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", resets, whole)
+
+    # Guards against an invalid status that is taken for that of an interim response: the host would wait for the final
+    # one until the connection ends, or take the next bytes for it.
+    def test_a_response_with_status_000_is_a_502_at_once(self):
+        self.target.pause_s = 3
+        broken = b"HTTP/1.1 000 \r\n" + FIELDS + b"Content-Length: 2\r\n\r\nno"
+        for raw_response in (broken, broken + START + b"Content-Length: 2\r\n\r\nok"):
+            with self.subTest(response=raw_response):
+                self.target.raw_response = raw_response
+                started_at = time.monotonic()
+                status, _ = self.send("/write/x", 0)
+                self.assertEqual(status, 502)
+                self.assertLess(time.monotonic() - started_at, 1)
 
 
 if __name__ == "__main__":
--- a/tests/system/store_fleet.py
+++ b/tests/system/store_fleet.py
@@ -135,13 +135,15 @@
         pass
 
 
+REQUEST_ID_PLACEHOLDER = b"<request id>"
+
+
 class RawTargetServer(TargetServer):
     """A target that sends fixed bytes as its response before it reads the body of a request, and then ends the
     connection."""
 
-    # After the request id and the signature, which stand first in the head.
+    # With REQUEST_ID_PLACEHOLDER where the id of the request is to be repeated.
     raw_response = b""
-    status_line = b"HTTP/1.1 200 OK"
     # Whether the connection ends with a reset or is closed in order.
     resets = False
     # How long the response is on its way before the connection ends.
@@ -155,8 +157,7 @@
     def do_GET(self):
         server = self.server
         server.runs.append((self.headers["X-Request-Id"], dict(self.headers), b""))
-        head = server.status_line + f"\r\nX-Request-Id: {self.headers['X-Request-Id']}\r\n".encode()
-        self.connection.sendall(head + b"X-Response-Signature: s\r\n" + server.raw_response)
+        self.connection.sendall(server.raw_response.replace(REQUEST_ID_PLACEHOLDER, self.headers["X-Request-Id"].encode()))
         time.sleep(server.pause_s)
         self.close_connection = True
         if server.resets:
