Abandon a response with a line of the head that starts with a blank

A target sent "X-Other: 1", then " Content-Length: 2": callers got 200 with all bytes up to the end of the connection as its body, and the line passed on as a part of X-Other. With " Transfer-Encoding: chunked" they got the chunk headers as a body.

Cause: the parser appends a line that starts with a blank to the value of the field before it (obsolete line folding), so a field whose name starts with a blank is gone.

Change: the receiver looks for such lines in the header section before the parser sees them, and in the trailer section before its fields are taken, and abandons the response: unknown (502), one of the two ways of RFC 9112, section 5.2. A blank or a control character anywhere else in a name, and at the start of the first field, was refused before; the tests of these stay.

--- a/src/dandelionmount/connection/response_receiver.cpp
+++ b/src/dandelionmount/connection/response_receiver.cpp
@@ -19,6 +19,7 @@
 using message_parser = http::response_parser<http::string_body>;
 
 constexpr std::string_view version_prefix = "HTTP/1.";
+constexpr std::string_view line_end = "\r\n";
 // Most responses arrive whole in one read of this size.
 constexpr std::size_t read_bytes = 4096;
 // Statuses below are invalid, those from here to `success` are of interim responses.
@@ -35,6 +36,16 @@
     return text.substr(0, length) == version_prefix.substr(0, length);
 }
 
+// Whether a line of a header or trailer section starts with a blank; the text starts with a line of it. The
+// parser appends such a line (obsolete line folding) to the value of the field before, so that a field whose
+// name starts with a blank, such as Content-Length, would be lost.
+bool has_folded_line(std::string_view text) {
+    const bool is_at_end = text.substr(0, line_end.size()) == line_end;
+    const std::string_view section = is_at_end ? std::string_view() : text.substr(0, text.find("\r\n\r\n"));
+    return section.find("\r\n ") != std::string_view::npos ||
+           section.find("\r\n\t") != std::string_view::npos;
+}
+
 // Parses the buffered bytes. Incomplete input is not an error.
 error_code parse(beast::flat_buffer& buffer, message_parser& parser) {
     // The parser would wait for a whole header section before it checks a start that came in pieces.
@@ -44,6 +55,10 @@
     if (!parser.got_some() && buffer.size() < version_prefix.size()) {
         return {};
     }
+    // The parser consumes whole fields only.
+    if (!parser.is_header_done() && has_folded_line(buffered_text(buffer))) {
+        return make_error_code(http::error::bad_field);
+    }
     error_code error;
     buffer.consume(parser.put(buffer.data(), error));
     // The parser accepts any three digits.
@@ -74,6 +89,18 @@
 asio::awaitable<error_code> read_message(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                          message_parser& parser, const response_limits& limits) {
     parser.eager(true);
+    // The parser calls this once the trailer section, which follows the header of the last chunk, is
+    // complete.
+    auto check_trailer = [&buffer](std::uint64_t chunk_bytes, beast::string_view extensions,
+                                   error_code& error) {
+        const std::string_view text = buffered_text(buffer);
+        const auto line_length =
+            static_cast<std::size_t>(extensions.data() + extensions.size() - text.data());
+        if (chunk_bytes == 0 && has_folded_line(text.substr(line_length + line_end.size()))) {
+            error = http::error::bad_field;
+        }
+    };
+    parser.on_chunk_header(check_trailer);
     while (true) {
         if (buffer.size() > 0) {
             const auto parse_error = parse(buffer, parser);
--- a/src/dandelionmount/connection/response_receiver.h
+++ b/src/dandelionmount/connection/response_receiver.h
@@ -31,7 +31,8 @@
 /// A final response, or the error that prevented its reception.
 struct received_response {
     /// A response above a limit yields an error for which `is_too_large` is true; bytes that are not a
-    /// response yield an error of the HTTP parser.
+    /// response, a status below 100, and fields that are folded over several lines yield an error of the HTTP
+    /// parser.
     boost::system::error_code error;
     /// Whether any byte arrived, of a response or not.
     bool has_started{false};
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -143,6 +143,69 @@
     }
 }
 
+// Guards against a line of the head that is passed on in a damaged form, or hides the end of the response.
+TEST_CASE("A response with a blank or a control character in a field name is abandoned at once") {
+    dm::http_protocol protocol;
+    protocol.accepts_close_delimited_responses = true;
+    const auto check_abandoned = [&protocol](const std::string& head) {
+        CAPTURE(head);
+        target_fixture fixture(head + "ok and more", false, protocol);
+        const auto reply = fixture.call(false, milliseconds(1000));
+        CHECK(reply.outcome() == wire::unknown);
+        CHECK(reply.reason() == "target_lost");
+    };
+    std::string bad_characters(1, '\x7f');
+    for (char character = 0; character <= ' '; ++character) {
+        bad_characters.push_back(character);
+    }
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    for (const char bad : bad_characters) {
+        CAPTURE(static_cast<int>(bad));
+        const std::string length = "Content-Length";
+        for (const std::size_t at : {std::size_t{0}, std::size_t{7}, length.size()}) {
+            std::string name = length;
+            name.insert(at, 1, bad);
+            check_abandoned(start + name + ": 2\r\nX-Other: 1\r\n\r\n");
+            check_abandoned(start + "X-Other: 1\r\n" + name + ": 2\r\n\r\n");
+        }
+    }
+    check_abandoned(start + "X-Other:\r\n Content-Length: 2\r\n\r\n");
+    check_abandoned(start + "X-Other: 1\r\n Transfer-Encoding: chunked\r\n\r\n");
+    check_abandoned(start + " \r\n\r\n");
+    check_abandoned(start + "X-Other: 1\r\n \r\n\r\n");
+    const std::string chunks = start + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    check_abandoned(chunks + " X-Other: 1\r\n\r\n");
+    check_abandoned(chunks + "X-Other : 1\r\n\r\n");
+    check_abandoned(chunks + "X-Other: 1\r\n X-More: 2\r\n\r\n");
+    check_abandoned("HTTP/1.1 102 Processing\r\n\r\n" + start + "X-Other: 1\r\n X-More: 2\r\n\r\n");
+}
+
+// Guards against a check of the head that reads the body, or misses a line that arrives in pieces.
+TEST_CASE("Lines of the body may start with a blank, lines of the head may not") {
+    const std::string body = " blank\r\n and\r\n\ttab";
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Other:  1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    target_fixture fixture(head + body, false);
+    CHECK(fixture.call(false).body() == body);
+    fixture.sends_bytewise = true;
+    CHECK(fixture.call(false, milliseconds(1000)).body() == body);
+    fixture.response = "HTTP/1.1 200 OK\r\nX-Other: 1\r\n Content-Length: 0\r\n\r\n";
+    CHECK(fixture.call(false, milliseconds(1000)).reason() == "target_lost");
+    for (const std::string_view trailer : {"", "X-More:  2\r\n"}) {
+        fixture.response =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n\r\n a\r\n0;part=last\r\n" +
+            std::string(trailer) + "\r\n";
+        fixture.sends_bytewise = !fixture.sends_bytewise;
+        CHECK(fixture.call(false, milliseconds(1000)).body() == "\r\n a");
+    }
+    // The last byte of the head arrives with the body.
+    target_fixture split(head.substr(0, head.size() - 1), false);
+    split.repeated = "\n" + body;
+    split.max_sent_bytes = split.repeated.size();
+    split.pause = milliseconds(20);
+    CHECK(split.call(false).body() == body);
+}
+
 // Guards against a parser that waits for more bytes although the first ones can't start a response.
 TEST_CASE("Bytes that can't start a response are abandoned at once") {
     for (const std::string_view text : {"g", "garbage", "HTTP/2", "\r\nHTTP/1.1 200 OK\r\n"}) {
--- a/tests/system/broken_responses_test.py
+++ b/tests/system/broken_responses_test.py
@@ -65,6 +65,14 @@
                 self.assertEqual(status, 502)
                 self.assertLess(time.monotonic() - started_at, 1)
 
+    # Guards against a line of the head that reaches callers in a damaged form, or hides where the response ends.
+    def test_a_response_with_a_blank_or_a_control_character_in_a_field_name_is_a_502(self):
+        for name in (b"Content-Length ", b"Content Length", b" Content-Length", b"\tContent-Length", b"Content\x01Length",
+                     b"\x00Content-Length", b"Content-Length\x7f"):
+            with self.subTest(name=name):
+                self.target.raw_response = START + name + b": 2\r\n\r\nok and more"
+                self.assertEqual(self.send("/write/x", 0)[0], 502)
+
 
 if __name__ == "__main__":
     unittest.main()
