--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -18,12 +18,13 @@
 struct client_fixture : tests::raw_server {
     explicit client_fixture(std::string text) : raw_server(std::move(text)) {}
 
-    dm::result<dm::http_response> exchange(dm::duration limit) {
+    dm::result<dm::http_response> exchange(dm::duration limit, std::size_t request_bytes = 0) {
         std::optional<dm::result<dm::http_response>> response;
         asio::co_spawn(
             io,
             [&]() -> asio::awaitable<void> {
-                dm::http_request request{http::verb::get, "/x", 11};
+                dm::http_request request{request_bytes > 0 ? http::verb::post : http::verb::get, "/x", 11};
+                request.body() = std::string(request_bytes, 'x');
                 response = co_await client.exchange(std::move(request), limit);
             },
             asio::detached);
@@ -89,4 +90,37 @@
     check_endless("HTTP/1.1 200 OK\r\n\r\n", "more");
 }
 
+// Guards against a part of a response of the store, the log or a node that is taken for the whole.
+TEST_CASE("The client takes a response that ends in a reset for lost") {
+    // The longer one exceeds what the buffers of an unread connection hold.
+    for (const std::size_t request_bytes : {0UL, 12UL * 1024 * 1024}) {
+        for (const std::string_view response : {"\r\npart", "Content-Length: 9\r\n\r\npart",
+                                                "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
+            CAPTURE(request_bytes);
+            CAPTURE(response);
+            client_fixture fixture("HTTP/1.1 200 OK\r\n" + std::string(response));
+            fixture.end_after_response = tests::connection_end::reset;
+            fixture.pause = milliseconds(20);
+            CHECK_FALSE(fixture.exchange(milliseconds(1500), request_bytes));
+        }
+    }
+}
+
+// Guards against a response of the store, the log or a node whose status or fields are damaged.
+TEST_CASE("The client rejects a response with status 000 or a damaged field name") {
+    const std::string body = "\r\n\r\nok";
+    for (const std::string& start : {std::string("HTTP/1.1 000 \r\nContent-Length: 2"),
+                                     std::string("HTTP/1.1 200 OK\r\nContent-Length : 2"),
+                                     std::string("HTTP/1.1 200 OK\r\nContent\x01Length: 2"),
+                                     std::string("HTTP/1.1 200 OK\r\n Content-Length: 2"),
+                                     std::string("HTTP/1.1 200 OK\r\nX-Other: 1\r\n Content-Length: 2")}) {
+        CAPTURE(start);
+        client_fixture fixture(start + body);
+        const auto response = fixture.exchange(milliseconds(1000));
+        REQUIRE_FALSE(response);
+        // Not held until the timeout.
+        CHECK(response.error().message.find("timeout") == std::string::npos);
+    }
+}
+
 TEST_SUITE_END();
--- a/tests/system/broken_responses_test.py
+++ b/tests/system/broken_responses_test.py
@@ -1,5 +1,7 @@
 """Broken responses of a target: what a caller receives through two hosts, in real processes."""
 
+import signal
+import threading
 import time
 import unittest
 
@@ -45,6 +47,20 @@
         self.check(START + b"Content-Length: 9\r\n\r\npart", True, (502, None))
         self.check(START + b"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", True, (502, None))
 
+    # The same for the last responses that a stopping host waits for.
+    def test_a_response_that_ends_in_a_reset_while_the_hosts_stop_is_a_502(self):
+        self.target.raw_response = START + b"\r\npart"
+        self.target.resets = True
+        self.target.pause_s = 1
+        responses = []
+        caller = threading.Thread(target=lambda: responses.append(self.send("/write/x", LONG_REQUEST_BYTES)))
+        caller.start()
+        self.assertTrue(self.fleet.wait_for(lambda: self.target.runs))
+        for node in self.fleet.nodes:
+            node.send_signal(signal.SIGTERM)
+        caller.join()
+        self.assertEqual([status for status, _ in responses], [502])
+
     def test_a_complete_response_is_delivered_however_the_connection_ends(self):
         whole = (200, b"whole")
         self.check(START + b"\r\nwhole", False, whole)
