--- a/src/dandelionmount/connection/response_receiver.cpp
+++ b/src/dandelionmount/connection/response_receiver.cpp
@@ -89,14 +89,14 @@
 asio::awaitable<error_code> read_message(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                          message_parser& parser, const response_limits& limits) {
     parser.eager(true);
-    // The parser calls this once the trailer section, which follows the header of the last chunk, is
-    // complete.
+    // The parser calls this for the last chunk once the trailer section, which follows the chunk's header
+    // line, has arrived as a whole.
     auto check_trailer = [&buffer](std::uint64_t chunk_bytes, beast::string_view extensions,
                                    error_code& error) {
         const std::string_view text = buffered_text(buffer);
-        const auto line_length =
+        const auto header_line_end =
             static_cast<std::size_t>(extensions.data() + extensions.size() - text.data());
-        if (chunk_bytes == 0 && has_folded_line(text.substr(line_length + line_end.size()))) {
+        if (chunk_bytes == 0 && has_folded_line(text.substr(header_line_end + line_end.size()))) {
             error = http::error::bad_field;
         }
     };
