Let the host beside the target decide whether a request of a stopping host can end in time

Cause: nothing but a test in caller_server knew when the process would end, and that test left out all open routes, as the calls of targets come in on them. Ruled out: a stop that ends before its time (5.27 s), responses that are not flushed (targets were at work on all that were lost).

Change: stop_schedule holds the end of the process from the signal on. The other hosts learn it by a field of the heartbeat. The executor starts a run only if runs of its route usually end in time (mean and four mean deviations), refuses it unrun otherwise, and tells the target to end by then. The test by timeout, with its exception, is gone.

--- a/src/dandelionmount/connection/caller_server.cpp
+++ b/src/dandelionmount/connection/caller_server.cpp
@@ -103,17 +103,16 @@
         checked.timeout = std::min<duration>(requested, checked.route.timeout_limit);
     }
     checked.why = check_key(request, checked);
-    const bool outlasts_process =
-        shutdown_deadline_ && !is_call(*route) && context_.time.now() + checked.timeout > *shutdown_deadline_;
-    if (checked.why == reason::none && outlasts_process) {
+    // Until then, the hosts of the workers decide whether a request can end in time: they know how long it
+    // would wait and run.
+    if (checked.why == reason::none && context_.time.now() >= latest_run_end(context_.stop)) {
         checked.why = reason::host_stopping;
     }
     return checked;
 }
 
-// Targets call through open routes, for requests that are already running, so neither shedding at the ingress
-// node nor the shutdown deadline applies. Other requests on these routes can't be told apart and are treated
-// alike.
+// Targets call through open routes, for requests that are already running, so they are not shed at the
+// ingress node. Other requests on these routes can't be told apart and are treated alike.
 bool caller_server::is_call(const route_settings& route) const {
     return route.open && context_.protocol.targets_call_open_routes;
 }
--- a/src/dandelionmount/connection/caller_server.h
+++ b/src/dandelionmount/connection/caller_server.h
@@ -6,10 +6,10 @@
 #include "dandelionmount/process/configuration_store.h"
 #include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/request_claims.h"
+#include "dandelionmount/process/stop_schedule.h"
 #include "dandelionmount/request/dispatcher.h"
 
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace dandelionmount {
@@ -27,6 +27,7 @@
     /// Service of this host's target, sent along where the protocol has a header for it.
     std::string service;
     http_protocol protocol;
+    const stop_schedule& stop;
 };
 
 /// Serves callers: checks route, API key, rate and idempotency key, then dispatches the request.
@@ -37,9 +38,6 @@
 
     result<void> listen(std::string_view address) { return server_.listen(address); }
     [[nodiscard]] http_server& server() { return server_; }
-    /// From now on refuses requests whose timeout ends after this time, except calls that targets make for
-    /// requests already running.
-    void set_shutdown_deadline(steady_time deadline) { shutdown_deadline_ = deadline; }
 
 private:
     /// Result of the checks: caller and route, or the reason for refusal. The route is copied, as a later
@@ -73,8 +71,6 @@
     void log_refusal(const http_request& request, const checked_request& checked) const;
 
     caller_server_context context_;
-    /// When this process stops; nullopt while no stop is planned.
-    std::optional<steady_time> shutdown_deadline_;
     http_server server_;
 };
 
--- a/src/dandelionmount/connection/frame_stream.h
+++ b/src/dandelionmount/connection/frame_stream.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONMOUNT_CONNECTION_FRAME_STREAM_H
 #define DANDELIONMOUNT_CONNECTION_FRAME_STREAM_H
 
+#include "dandelionmount/process/clock.h"
 #include "dandelionmount/process/result.h"
 #include "dandelionmount/wire/peer.pb.h"
 
@@ -44,6 +45,10 @@
     [[nodiscard]] bool is_open() const { return socket_.is_open(); }
     /// Bytes queued or not yet accepted by the kernel.
     [[nodiscard]] std::size_t unsent_bytes() const { return queued_.size() + writing_.size(); }
+    /// Records when the process at the other end ends.
+    void set_peer_end(steady_time at) { peer_end_ = at; }
+    /// When the process at the other end ends; never, unless it has announced its stop.
+    [[nodiscard]] steady_time peer_end() const { return peer_end_; }
     /// Whether a frame could not be decoded or was too large.
     [[nodiscard]] bool was_malformed() const { return malformed_; }
 
@@ -62,6 +67,7 @@
     std::size_t frame_bytes_{0};
     std::string queued_;
     std::string writing_;
+    steady_time peer_end_{steady_time::max()};
     bool malformed_{false};
 };
 
--- a/src/dandelionmount/connection/peer_connection.cpp
+++ b/src/dandelionmount/connection/peer_connection.cpp
@@ -1,5 +1,6 @@
 #include "dandelionmount/connection/peer_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dandelionmount {
@@ -22,6 +23,13 @@
     return frame;
 }
 
+wire::peer_frame make_stop_notice(duration time_left) {
+    wire::peer_frame frame = make_heartbeat(0);
+    frame.mutable_heartbeat()->set_sender_ends_in_ms(
+        to_milliseconds(std::max<duration>(time_left, duration{0})));
+    return frame;
+}
+
 peer_connection::peer_connection(asio::any_io_executor executor, const time_source& time,
                                  std::shared_ptr<frame_stream> stream, std::uint64_t incarnation)
     : executor_(std::move(executor)), time_(time), stream_(std::move(stream)), incarnation_(incarnation),
--- a/src/dandelionmount/connection/peer_connection.h
+++ b/src/dandelionmount/connection/peer_connection.h
@@ -55,6 +55,8 @@
 };
 
 [[nodiscard]] wire::peer_frame make_heartbeat(std::uint64_t sequence);
+/// Tells the other host when this process ends.
+[[nodiscard]] wire::peer_frame make_stop_notice(duration time_left);
 
 } // namespace dandelionmount
 
--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -96,6 +96,12 @@
     }
 }
 
+void peer_link::announce_stop() {
+    if (is_connected() && context_.stop != nullptr && is_stopping(*context_.stop)) {
+        connection_->stream().send(make_stop_notice(context_.stop->process_end - context_.time.now()));
+    }
+}
+
 void peer_link::keep_connected() {
     const auto now = context_.time.now();
     if (stopped_ || connecting_ || is_connected() || now < next_connect_at_) {
@@ -168,6 +174,7 @@
     if (!opened) {
         co_return;
     }
+    announce_stop();
     send_delayed_cancels();
     close_if_retired();
     reconnect_backoff_ = duration{0};
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -6,6 +6,7 @@
 #include "dandelionmount/connection/peer_handshake.h"
 #include "dandelionmount/process/clock.h"
 #include "dandelionmount/process/metrics.h"
+#include "dandelionmount/process/stop_schedule.h"
 
 #include <functional>
 #include <map>
@@ -30,6 +31,8 @@
     std::optional<duration> idempotent_settle_timeout;
     /// Called when a connection to the host is established, is lost or can't be opened, and on retire().
     std::function<void(const std::string& host, bool reachable)> on_reachability;
+    /// When this process ends; nullptr where no stop is planned.
+    const stop_schedule* stop{nullptr};
 };
 
 /// An idempotent attempt whose connection was lost, and that may run still.
@@ -70,6 +73,8 @@
                                                                  std::string reply_key, steady_time deadline);
     /// Sends the report if the connection is open; it is not answered.
     void send_crash_report(const wire::crash_report& report);
+    /// Tells the host when this process ends, now or when the connection is open again.
+    void announce_stop();
     /// Opens the connection in the background, unless it is open or the backoff has not elapsed.
     void keep_connected();
     [[nodiscard]] bool is_connected() const { return connection_ && connection_->is_open(); }
--- a/src/dandelionmount/connection/target_connection.cpp
+++ b/src/dandelionmount/connection/target_connection.cpp
@@ -214,16 +214,16 @@
     co_return error == asio::error::connection_refused;
 }
 
-asio::awaitable<wire::forward_reply> target_connections::call(target_address target,
-                                                              const wire::forward_request& request,
-                                                              steady_time deadline,
-                                                              std::shared_ptr<cancel_token> cancel) {
+asio::awaitable<wire::forward_reply>
+target_connections::call(target_address target, const wire::forward_request& request, steady_time deadline,
+                         std::shared_ptr<cancel_token> cancel, steady_time finish_by) {
+    const exchange_deadlines deadlines{deadline, std::min(deadline, finish_by)};
     // A target may close an idle connection just as a request is sent on it, and whether the request ran is
     // then unknown: only idempotent requests reuse one, as they can be sent again.
     connection_pointer conn = request.idempotent() ? take_idle() : nullptr;
     std::optional<wire::forward_reply> lost;
     if (conn != nullptr) {
-        auto outcome = co_await exchange(conn, request, target.instance, deadline, cancel);
+        auto outcome = co_await exchange(conn, request, target.instance, deadlines, cancel);
         if (!outcome.lost_without_response || cancel->requested()) {
             co_return std::move(outcome.reply);
         }
@@ -240,13 +240,13 @@
         co_return make_reply(request, wire::not_run,
                              deadline_passed ? reason::deadline : reason::target_refused);
     }
-    auto outcome = co_await exchange(conn, request, target.instance, deadline, cancel);
+    auto outcome = co_await exchange(conn, request, target.instance, deadlines, cancel);
     co_return std::move(outcome.reply);
 }
 
 asio::awaitable<target_connections::exchange_outcome>
 target_connections::exchange(connection_pointer conn, const wire::forward_request& request,
-                             std::string instance, steady_time deadline,
+                             std::string instance, exchange_deadlines deadlines,
                              std::shared_ptr<cancel_token> cancel) {
     exchange_outcome outcome;
     if (cancel->requested()) {
@@ -261,9 +261,9 @@
             open->stream.close();
         }
     });
-    conn->stream.expires_at(deadline);
+    conn->stream.expires_at(deadlines.deadline);
     auto outgoing = std::make_shared<outgoing_request>();
-    outgoing->message = make_target_request(request, instance, deadline - time_.now());
+    outgoing->message = make_target_request(request, instance, deadlines.finish_by - time_.now());
     outgoing->instance = instance;
     outgoing->sent_at = time_.now();
     // Written concurrently with reading: a target may respond before it has read a long body, and continue
@@ -273,7 +273,7 @@
                           outgoing->written = !error;
                           outgoing->write_error = error;
                       });
-    outcome = co_await await_response(conn, request, outgoing, deadline);
+    outcome = co_await await_response(conn, request, outgoing, deadlines.deadline);
     *active = false;
     if (outcome.reply.outcome() == wire::unknown && cancel->requested()) {
         outcome.reply.set_reason(std::string(reason_token(reason::caller_gone)));
--- a/src/dandelionmount/connection/target_connection.h
+++ b/src/dandelionmount/connection/target_connection.h
@@ -48,13 +48,13 @@
     /// Sends the request to the target and waits for the complete response. The outcome is `ran` only for a
     /// framed, complete response that belongs to the request (close-delimited only where the protocol accepts
     /// that and the target closed the connection without a reset), and `not_run` only when the request was
-    /// not sent or the target says so. An idempotent request that an idle connection loses without a response
+    /// not sent or the target says so. The target is told to finish by `finish_by` where that is before the
+    /// deadline. An idempotent request that an idle connection loses without a response
     /// is sent again, and the outcome is that of the second attempt. Cancellation closes the connection, by
     /// which the target can detect it.
-    boost::asio::awaitable<wire::forward_reply> call(target_address target,
-                                                     const wire::forward_request& request,
-                                                     steady_time deadline,
-                                                     std::shared_ptr<cancel_token> cancel);
+    boost::asio::awaitable<wire::forward_reply>
+    call(target_address target, const wire::forward_request& request, steady_time deadline,
+         std::shared_ptr<cancel_token> cancel, steady_time finish_by = steady_time::max());
     /// Whether nothing listens at the address: the target's process has ended. False if the connection is
     /// accepted or gets no response soon.
     boost::asio::awaitable<bool> refuses_connections(boost::asio::ip::tcp::endpoint target);
@@ -73,6 +73,11 @@
         steady_time usable_until;
     };
     using connection_pointer = std::shared_ptr<connection>;
+    /// Until when a response is waited for, and what the target is told.
+    struct exchange_deadlines {
+        steady_time deadline;
+        steady_time finish_by;
+    };
     struct exchange_outcome {
         wire::forward_reply reply;
         /// The connection was lost before any byte arrived.
@@ -96,7 +101,7 @@
                                                        steady_time deadline);
     boost::asio::awaitable<exchange_outcome> exchange(connection_pointer conn,
                                                       const wire::forward_request& request,
-                                                      std::string instance, steady_time deadline,
+                                                      std::string instance, exchange_deadlines deadlines,
                                                       std::shared_ptr<cancel_token> cancel);
     boost::asio::awaitable<exchange_outcome> await_response(connection_pointer conn,
                                                             const wire::forward_request& request,
--- a/src/dandelionmount/process/admission_queue.h
+++ b/src/dandelionmount/process/admission_queue.h
@@ -21,7 +21,7 @@
     std::string account;
     steady_time arrived;
     /// Latest time at which it may start.
-    steady_time start_by;
+    steady_time start_by{steady_time::max()};
     /// When its response is due; later ones are worth less.
     steady_time due{steady_time::max()};
     /// Number of requests that it represents, including those that the ingress nodes shed; 0 for a further
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -65,16 +65,16 @@
       identity_{own.host, make_incarnation(), std::move(secret)},
       members_{make_own_record(own, identity_.incarnation)}, lease_{identity_.incarnation},
       configuration_(own.zones, time), target_(time, own.mechanisms),
-      peers_({io.get_executor(), identity_, time, counters_, own.mechanisms.settle, std::nullopt, {}},
+      peers_({io.get_executor(), identity_, time, counters_, own.mechanisms.settle, std::nullopt, {}, &stop_},
              members_),
       connections_(io.get_executor(), time, own.limits.body_bytes,
                    std::make_shared<byte_budget>(received_responses_budget(own.limits))),
       crash_monitor_({io.get_executor(), time, counters_, members_, peers_, random_}),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
-                 ip_of(own.target_address), nullptr, true, &crash_monitor_}),
+                 ip_of(own.target_address), nullptr, true, &crash_monitor_, &stop_}),
       retry_limiter_(configuration_),
       dispatcher_({time, counters_, configuration_, members_, peers_, executor_, random_, retry_limiter_,
-                   own.mechanisms.allowance}),
+                   own.mechanisms.allowance, true, false, nullptr, &stop_}),
       rates_({io.get_executor(), time, counters_, configuration_, members_, peers_, lease_}),
       claims_({io.get_executor(), time, configuration_, members_, peers_}),
       gossip_({io.get_executor(), time, counters_, identity_, members_, lease_, configuration_, random_,
@@ -93,7 +93,7 @@
           [this](const wire::peer_frame& frame, const peer_id& from, std::shared_ptr<frame_stream> stream) {
               handle_frame(frame, from, std::move(stream));
           }),
-      caller_server_({time, counters_, configuration_, rates_, &claims_, dispatcher_, random_, {}, {}},
+      caller_server_({time, counters_, configuration_, rates_, &claims_, dispatcher_, random_, {}, {}, stop_},
                      io.get_executor(), own.limits),
       target_server_({time, counters_, configuration_, target_, executor_, dispatcher_}, io.get_executor(),
                      own.limits),
@@ -152,6 +152,7 @@
     switch (frame.body_case()) {
     case wire::peer_frame::kHeartbeat:
         crash_monitor_.handle(frame.heartbeat().crashes());
+        executor_.handle_stop_notice(frame.heartbeat(), stream);
         stream->send(make_heartbeat(frame.heartbeat().sequence()));
         break;
     case wire::peer_frame::kTokenRequest:
@@ -198,6 +199,8 @@
     log_event(log_level::info, "stopping", {{"host", settings_.host}});
     stopping_ = true;
     const auto deadline = time_.now() + settings_.stop_wait;
+    stop_.process_end = deadline;
+    peers_.announce_stop();
     // Peers stop sending requests once they receive the update; requests that still arrive are refused as not
     // run, and the peers send them to another host.
     publish_target();
--- a/src/dandelionmount/process/node.h
+++ b/src/dandelionmount/process/node.h
@@ -48,6 +48,7 @@
     boost::asio::io_context& io_;
     settings settings_;
     const time_source& time_;
+    stop_schedule stop_;
     std::mt19937_64 random_;
     metrics counters_;
     peer_identity identity_;
--- a/src/dandelionmount/process/peer_directory.cpp
+++ b/src/dandelionmount/process/peer_directory.cpp
@@ -63,6 +63,12 @@
     });
 }
 
+void peer_directory::announce_stop() {
+    for (const auto& [host, link] : links_) {
+        link->announce_stop();
+    }
+}
+
 void peer_directory::stop() {
     for (const auto& [host, link] : links_) {
         link->stop();
--- a/src/dandelionmount/process/peer_directory.h
+++ b/src/dandelionmount/process/peer_directory.h
@@ -26,6 +26,8 @@
     [[nodiscard]] bool is_connected(std::string_view host) const;
     /// Closes links to hosts that are no longer alive or known.
     void close_gone_links();
+    /// Tells all hosts when this process ends.
+    void announce_stop();
     void stop();
 
 private:
--- a/src/dandelionmount/process/reason.cpp
+++ b/src/dandelionmount/process/reason.cpp
@@ -40,6 +40,7 @@
     "peer_lost",
     "peer_refused",
     "host_stopping",
+    "sender_stopping",
     "deadline",
     "caller_gone",
     "already_running",
--- a/src/dandelionmount/process/reason.h
+++ b/src/dandelionmount/process/reason.h
@@ -44,6 +44,7 @@
     peer_lost,
     peer_refused,
     host_stopping,
+    sender_stopping,
     deadline,
     caller_gone,
     already_running,
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -85,11 +85,12 @@
                                            const configuration_store& configuration,
                                            const member_table& members, peer_directory& peers,
                                            executor& local, std::mt19937_64& random, retry_limiter& retries,
-                                           service_pressure& pressure) {
+                                           service_pressure& pressure, const stop_schedule& stop) {
     dispatcher_context context{time, counters, configuration, members, peers, local, random, retries};
     context.shares_allowance = false;
     context.redirects_refused_attempts = true;
     context.pressure = &pressure;
+    context.stop = &stop;
     return context;
 }
 
@@ -104,19 +105,20 @@
       peers_({io.get_executor(), identity_, time, counters_, true, idempotent_settle_timeout,
               [this](const std::string& host, bool reachable) {
                   dispatcher_.record_reachability(host, reachable);
-              }},
+              },
+              &stop_},
              members_),
       connections_(io.get_executor(), time, max_response_bytes,
                    std::make_shared<byte_budget>(byte_budget{max_received_bytes}), adapter.protocol),
       crash_monitor_({io.get_executor(), time, counters_, members_, peers_, random_}),
       executor_({io.get_executor(), time, counters_, configuration_, target_, connections_,
-                 ip_of(own.target_address), &pressure_, false, &crash_monitor_}),
+                 ip_of(own.target_address), &pressure_, false, &crash_monitor_, &stop_}),
       retry_limiter_(
           time, members_, {own.retry_share, static_cast<double>(own.retry_slack), own.retry_window},
           {[this](std::string_view service) { return limiter_.is_retry_allocator_reachable(service); },
            [this](std::string service) { return limiter_.report_retries(std::move(service)); }}),
       dispatcher_(make_dispatcher_context(time, counters_, configuration_, members_, peers_, executor_,
-                                          random_, retry_limiter_, pressure_)),
+                                          random_, retry_limiter_, pressure_, stop_)),
       topics_(time, peers_), outlier_detector_(time, settings_.host, target_,
                                                [this](const std::string& host, const target_health& health) {
                                                    dispatcher_.record_worker_comparison(host, health);
@@ -151,7 +153,7 @@
           },
           [this](const std::shared_ptr<frame_stream>& stream) { executor_.handle_stream_end(stream); }),
       caller_server_({time, counters_, configuration_, limiter_, nullptr, dispatcher_, random_, own.service,
-                      adapter.protocol},
+                      adapter.protocol, stop_},
                      io.get_executor(), caller_limits{}),
       readiness_server_(io.get_executor(), caller_limits{}, counters_,
                         [this](http_request request, std::shared_ptr<cancel_token>) {
@@ -284,6 +286,7 @@
     switch (frame.body_case()) {
     case wire::peer_frame::kHeartbeat:
         crash_monitor_.handle(frame.heartbeat().crashes());
+        executor_.handle_stop_notice(frame.heartbeat(), stream);
         stream->send(make_heartbeat(frame.heartbeat().sequence()));
         break;
     case wire::peer_frame::kTopicRequest:
@@ -458,6 +461,8 @@
     const auto stop_began = time_.now();
     const auto deadline = stop_began + settings_.stop_wait - stop_margin;
     stopping_ = true;
+    stop_.process_end = deadline;
+    peers_.announce_stop();
     publish_target();
     // Requests for this host's target go to other hosts from now on, unless their service has no other
     // target; requests that callers send to this host are still accepted.
@@ -467,7 +472,6 @@
     log_stop_progress("callers informed of the stop", stop_began);
     executor_.close();
     caller_server_.server().drain();
-    caller_server_.set_shutdown_deadline(deadline);
     stop_wait_context stop_context{io_.get_executor(), time_, executor_, peer_server_, {}};
     stop_context.servers.push_back(&caller_server_.server());
     co_await wait_until_idle(stop_context, deadline);
--- a/src/dandelionmount/process/store_node.h
+++ b/src/dandelionmount/process/store_node.h
@@ -64,6 +64,7 @@
     store_settings settings_;
     platform_adapter adapter_;
     const time_source& time_;
+    stop_schedule stop_;
     std::mt19937_64 random_;
     metrics counters_;
     peer_identity identity_;
--- a/src/dandelionmount/process/target_limiter.cpp
+++ b/src/dandelionmount/process/target_limiter.cpp
@@ -120,7 +120,7 @@
     }
     const std::size_t ahead = requests_ahead(limiter.queue, request) + 1;
     const duration wait = expected_wait(limiter, ahead);
-    if (now + wait + limiter.service_time > deadline) {
+    if (now + wait + limiter.service_time > deadline || now + wait > request.start_by) {
         return refuse(reason::cannot_finish);
     }
     arrival_decision decision;
--- a/src/dandelionmount/process/target_speed.cpp
+++ b/src/dandelionmount/process/target_speed.cpp
@@ -1,6 +1,7 @@
 #include "dandelionmount/process/target_speed.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dandelionmount {
 
@@ -18,6 +19,10 @@
 constexpr std::uint64_t min_runs = 5;
 // Deadlines below this part of the run time are too short for the route.
 constexpr double short_deadline_ratio = 0.8;
+// Mean deviations above the mean that bound a run time, and the first deviation as a part of the first run
+// time, both as for the retransmission timeout of TCP (RFC 6298).
+constexpr double bound_deviations = 4;
+constexpr double first_deviation_ratio = 0.5;
 // Age from which measurements are ignored.
 constexpr duration measurement_ttl = std::chrono::seconds(10);
 
@@ -26,12 +31,20 @@
     return std::clamp(idle_seconds / full_weight_seconds, min_weight, max_weight);
 }
 
+// Mean age of the running requests of a route, in seconds; 0 if there are none.
+double mean_age(const target_speed& speed, const route_speed& route, steady_time now) {
+    return route.running == 0
+               ? 0
+               : to_seconds(now - speed.origin) - route.start_time_sum / static_cast<double>(route.running);
+}
+
 } // namespace
 
 void reset_speed(target_speed& speed) {
     speed.failing = 0;
     for (auto& [name, route] : speed.routes) {
         route.run_time = 0;
+        route.run_time_deviation = 0;
         route.runs = 0;
         route.timeout_ratio = 0;
     }
@@ -77,10 +90,15 @@
     if (result == run_result::failed || (result == run_result::timed_out && seconds < measured.run_time)) {
         return;
     }
-    measured.run_time = measured.runs == 0
-                            ? seconds
-                            : measured.run_time + ewma_weight(measured.run_time_updated_at, now) *
-                                                      (seconds - measured.run_time);
+    if (measured.runs == 0) {
+        measured.run_time = seconds;
+        measured.run_time_deviation = first_deviation_ratio * seconds;
+    } else {
+        const double weight = ewma_weight(measured.run_time_updated_at, now);
+        const double deviation = std::abs(seconds - measured.run_time);
+        measured.run_time_deviation += weight * (deviation - measured.run_time_deviation);
+        measured.run_time += weight * (seconds - measured.run_time);
+    }
     measured.run_time_updated_at = now;
     ++measured.runs;
 }
@@ -95,10 +113,7 @@
         if (route.runs >= min_runs) {
             current.run_time = route.run_time;
         }
-        if (route.running > 0) {
-            current.running_for =
-                to_seconds(now - speed.origin) - route.start_time_sum / static_cast<double>(route.running);
-        }
+        current.running_for = mean_age(speed, route, now);
         if (current.run_time || current.running_for > 0) {
             times[name] = current;
         }
@@ -106,6 +121,17 @@
     return times;
 }
 
+std::optional<duration> run_time_bound(const target_speed& speed, std::string_view route, steady_time now) {
+    const auto found = speed.routes.find(route);
+    if (found == speed.routes.end() || found->second.runs == 0) {
+        return std::nullopt;
+    }
+    const route_speed& measured = found->second;
+    const double bound = measured.run_time + bound_deviations * measured.run_time_deviation;
+    // Requests that hang show in their age before they end.
+    return from_seconds(std::max(bound, mean_age(speed, measured, now)));
+}
+
 double timeout_share(const target_speed& speed, std::string_view route, steady_time now) {
     const auto found = speed.routes.find(route);
     const bool known =
--- a/src/dandelionmount/process/target_speed.h
+++ b/src/dandelionmount/process/target_speed.h
@@ -18,6 +18,8 @@
 struct route_speed {
     /// EWMA of the run time, in seconds.
     double run_time{0};
+    /// EWMA of the distance between a run time and their mean, in seconds.
+    double run_time_deviation{0};
     /// Number of run times measured.
     std::uint64_t runs{0};
     /// EWMA of the share of the runs that missed their deadline, 0 to 1.
@@ -59,6 +61,10 @@
 /// Times of the routes with running requests or recent run times.
 [[nodiscard]] std::map<std::string, route_times> times_of_routes(const target_speed& speed, steady_time now);
 
+/// Time that hardly any run of the route exceeds, from the runs measured so far; nothing before the first.
+[[nodiscard]] std::optional<duration> run_time_bound(const target_speed& speed, std::string_view route,
+                                                     steady_time now);
+
 /// Share of the route's runs expected to miss their deadline; 0 without recent results.
 [[nodiscard]] double timeout_share(const target_speed& speed, std::string_view route, steady_time now);
 
--- a/src/dandelionmount/request/dispatcher.cpp
+++ b/src/dandelionmount/request/dispatcher.cpp
@@ -31,9 +31,10 @@
            why == reason::target_refused || why == reason::peer_unreachable;
 }
 
-// The worker's host had no room for the request, so the request never reached the worker.
+// The worker's host had no room for the request, or not in time, so the request never reached the worker.
 bool is_load_refusal(reason why) {
-    return why == reason::queue_full || why == reason::cannot_finish || why == reason::overload;
+    return why == reason::queue_full || why == reason::cannot_finish || why == reason::overload ||
+           why == reason::sender_stopping;
 }
 
 bool is_final(reason why) {
@@ -303,7 +304,7 @@
     const bool proved_not_run = reply.outcome() == wire::not_run;
     const bool repeatable =
         proved_not_run || (reply.outcome() == wire::unknown && order.request.idempotent());
-    if (!repeatable || is_final(why) || has_ended(order)) {
+    if (!repeatable || is_final(why) || has_ended(order) || !is_attempt_in_time()) {
         co_return no_retry;
     }
     if (!context_.uses_allowance) {
@@ -337,7 +338,7 @@
         co_return no_retry;
     }
     // The budget may have been waited for.
-    if (has_ended(order)) {
+    if (has_ended(order) || !is_attempt_in_time()) {
         co_return no_retry;
     }
     if (!at_same_worker) {
@@ -348,6 +349,11 @@
     co_return retry;
 }
 
+bool dispatcher::is_attempt_in_time() const {
+    return context_.stop == nullptr ||
+           context_.time.now() + min_attempt_time < latest_run_end(*context_.stop);
+}
+
 bool dispatcher::has_ended(const dispatch_order& order) const {
     return context_.time.now() + min_attempt_time >= order.deadline || order.cancel->requested();
 }
--- a/src/dandelionmount/request/dispatcher.h
+++ b/src/dandelionmount/request/dispatcher.h
@@ -44,6 +44,8 @@
     /// Load of this host's target and of the services that it calls; nullptr where ingress nodes shed by
     /// client account.
     service_pressure* pressure{nullptr};
+    /// When this process ends; nullptr where no stop is planned.
+    const stop_schedule* stop{nullptr};
 };
 
 /// A request to send to a worker.
@@ -109,6 +111,8 @@
     decide_retry(const dispatch_order& order, const wire::forward_reply& reply, std::uint32_t& redirects);
     /// Whether another attempt would come too late, or nobody waits for it.
     [[nodiscard]] bool has_ended(const dispatch_order& order) const;
+    /// Whether an attempt that starts now could end before this process does.
+    [[nodiscard]] bool is_attempt_in_time() const;
     [[nodiscard]] bool admit_at_ingress(dispatch_order& order);
     [[nodiscard]] double ingress_admitted_share(const dispatch_order& order);
     [[nodiscard]] wire::forward_reply make_shed_reply(const dispatch_order& order);
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -179,7 +179,40 @@
     return context_.crashes->assess(fingerprint_of(attempt));
 }
 
+// When a run has to end so that its reply reaches the caller: this process and the host that sent the request
+// may both be stopping.
+steady_time executor::latest_end(const execution& attempt) const {
+    const auto stream = attempt.stream.lock();
+    const auto own_end = context_.stop == nullptr ? steady_time::max() : latest_run_end(*context_.stop);
+    return stream ? std::min(own_end, latest_run_end(stream->peer_end())) : own_end;
+}
+
+// Where no run of the route has been measured, it may take all of its time.
+steady_time executor::latest_start(const execution& attempt) const {
+    const auto end = latest_end(attempt);
+    if (end == steady_time::max()) {
+        return end;
+    }
+    const auto now = context_.time.now();
+    return end - run_time_bound(context_.target.speed(), attempt.request.route(), now)
+                     .value_or(attempt.deadline - now);
+}
+
+// Whether the attempt is too late to end before this process or that of its sender.
+reason executor::check_stop(const execution& attempt) const {
+    if (context_.time.now() <= latest_start(attempt)) {
+        return reason::none;
+    }
+    const bool is_own_stop =
+        context_.stop != nullptr && latest_end(attempt) == latest_run_end(*context_.stop);
+    return is_own_stop ? reason::host_stopping : reason::sender_stopping;
+}
+
 reason executor::check_request(execution& attempt) const {
+    const reason too_late = check_stop(attempt);
+    if (too_late != reason::none) {
+        return too_late;
+    }
     if (!attempt.request.open() && context_.configuration.is_key_invalidated(
                                        attempt.request.key_id(), attempt.request.configuration_version())) {
         return reason::withdrawn_key;
@@ -299,7 +332,7 @@
     request.priority = attempt->request.priority();
     request.account = attempt->request.account();
     request.arrived = now;
-    request.start_by = attempt->deadline - reply_margin;
+    request.start_by = std::min(attempt->deadline - reply_margin, latest_start(*attempt));
     request.due = attempt->request.objective_ms() > 0
                       ? now + std::chrono::milliseconds(attempt->request.objective_ms())
                       : attempt->deadline;
@@ -344,8 +377,10 @@
         record_start(*context_.pressure, attempt->request.route(), attempt->request.repeat_share());
     }
     record_run_start(context_.target.speed(), attempt->request.route(), start.at);
-    auto reply = co_await context_.connections.call(start.target, attempt->request,
-                                                    attempt->deadline - reply_margin, attempt->cancel);
+    // A target that runs for longer than expected ends by itself, as at any deadline.
+    auto reply =
+        co_await context_.connections.call(start.target, attempt->request, attempt->deadline - reply_margin,
+                                           attempt->cancel, latest_end(*attempt));
     const auto elapsed = context_.time.now() - start.at;
     const run_result result = run_result_of(reply);
     context_.counters.target_time().add(elapsed);
@@ -469,6 +504,13 @@
     }
 }
 
+void executor::handle_stop_notice(const wire::heartbeat& heartbeat,
+                                  const std::shared_ptr<frame_stream>& stream) {
+    if (heartbeat.has_sender_ends_in_ms()) {
+        stream->set_peer_end(context_.time.now() + std::chrono::milliseconds(heartbeat.sender_ends_in_ms()));
+    }
+}
+
 void executor::handle_stream_end(const std::shared_ptr<frame_stream>& stream) {
     if (!context_.idempotent_requests_are_settled) {
         asio::co_spawn(context_.executor, cancel_orphans(stream), asio::detached);
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -9,6 +9,7 @@
 #include "dandelionmount/process/local_target.h"
 #include "dandelionmount/process/metrics.h"
 #include "dandelionmount/process/service_pressure.h"
+#include "dandelionmount/process/stop_schedule.h"
 #include "dandelionmount/request/retry_allowance.h"
 #include "dandelionmount/request/suspect_gate.h"
 
@@ -70,6 +71,8 @@
     bool idempotent_requests_are_settled{true};
     /// Requests that were running when targets crashed; nullptr where they are not tracked.
     crash_monitor* crashes{nullptr};
+    /// When this process ends; nullptr where no stop is planned.
+    const stop_schedule* stop{nullptr};
 };
 
 /// Runs requests at this host's target: each attempt at most once, with an outcome that can be queried.
@@ -91,6 +94,9 @@
     /// Cancels the attempts that came over a connection which has ended, after a while in which their sender
     /// may cancel them itself.
     void handle_stream_end(const std::shared_ptr<frame_stream>& stream);
+    /// Records when the host that sent the heartbeat ends, if it says so. Its requests that can't end by then
+    /// do not start.
+    void handle_stop_notice(const wire::heartbeat& heartbeat, const std::shared_ptr<frame_stream>& stream);
     /// Reports the outcome of an attempt; one that was not seen is refused from then on.
     void settle(const wire::settle_request& request, std::shared_ptr<frame_stream> stream);
     /// Drops a reply that the sender has received.
@@ -129,6 +135,9 @@
     [[nodiscard]] const std::string& fingerprint_of(execution& attempt) const;
     [[nodiscard]] crash_verdict assess(execution& attempt) const;
     [[nodiscard]] reason check_request(execution& attempt) const;
+    [[nodiscard]] steady_time latest_end(const execution& attempt) const;
+    [[nodiscard]] steady_time latest_start(const execution& attempt) const;
+    [[nodiscard]] reason check_stop(const execution& attempt) const;
     [[nodiscard]] wire::forward_reply make_refusal(const execution& attempt, reason why) const;
     void start_waiting();
     void start_waiting_at_next_token(steady_time now);
--- a/tests/process/target_speed_test.cpp
+++ b/tests/process/target_speed_test.cpp
@@ -93,4 +93,31 @@
     CHECK(dm::timeout_share(fixture.speed, "/read/", fixture.now + seconds(11)) == 0);
 }
 
+TEST_CASE("The bound of a route's run time follows the mean and the spread of its runs") {
+    speed_fixture fixture;
+    const auto bound = [&fixture] {
+        return dm::to_seconds(dm::run_time_bound(fixture.speed, "/read/", fixture.now).value());
+    };
+    CHECK_FALSE(dm::run_time_bound(fixture.speed, "/read/", fixture.now));
+    fixture.run(1, milliseconds(100));
+    CHECK(bound() == doctest::Approx(0.3));
+    fixture.run(60, milliseconds(100));
+    CHECK(bound() == doctest::Approx(0.1).epsilon(0.02));
+    for (int round = 0; round < 30; ++round) {
+        fixture.run(3, milliseconds(100));
+        fixture.run(1, milliseconds(300));
+    }
+    CHECK(bound() > 0.3);
+    CHECK(bound() < 0.7);
+    CHECK_FALSE(dm::run_time_bound(fixture.speed, "/other/", fixture.now));
+}
+
+TEST_CASE("Requests that hang raise the bound of the run time before they end") {
+    speed_fixture fixture;
+    fixture.run(60, milliseconds(100));
+    dm::record_run_start(fixture.speed, "/read/", fixture.now);
+    fixture.now += seconds(2);
+    CHECK(dm::run_time_bound(fixture.speed, "/read/", fixture.now).value() >= seconds(2));
+}
+
 TEST_SUITE_END();
--- a/tests/support/host_process.h
+++ b/tests/support/host_process.h
@@ -38,6 +38,7 @@
               io.get_executor(), identity, counters,
               [this](const dandelionmount::wire::peer_frame& frame, const dandelionmount::peer_id&,
                      std::shared_ptr<dandelionmount::frame_stream> stream) {
+                  executor.handle_stop_notice(frame.heartbeat(), stream);
                   if (!executor.handle_attempt_frame(frame, stream)) {
                       stream->send(frame);
                   }
--- a/tests/system/store_fleet.py
+++ b/tests/system/store_fleet.py
@@ -282,14 +282,14 @@
             time.sleep(0.15)
 
     def configure(self, version, keys, rate=1000, burst=1000, timeout="2000ms", extra_routes=(),
-                  max_body_bytes=1000000):
-        """Writes a configuration with safe and unsafe routes to the store, as operators do."""
+                  max_body_bytes=1000000, public=False):
+        """Writes a configuration with safe and unsafe routes to the store, as operators do. Public routes need no key."""
         routes = []
         for name, kind, service in (("read", "safe", "back"), ("write", "unsafe", "back"), ("own", "safe", "front"),
                                     *extra_routes):
             routes.append({"name": name, "host": "one.example", "pathPrefix": f"/{name}/", "kind": kind,
                            "timeout": timeout, "targetLatency": "1s", "priority": 1, "service": service,
-                           "maxAttempts": 2, "public": False})
+                           "maxAttempts": 2, "public": public})
         document = {"version": version, "routes": routes, "services": [{"name": "back"}, {"name": "front"}],
                     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": max_body_bytes, "headerTimeout": "3000ms",
                                "idleTimeout": "15000ms"},
