End the wait of a request when it can't end before the process that holds it or that sent it

Cause: nothing ended the wait. The host that holds the queue can prove that a request has not run, but learnt nothing of its sender's end, and the stopping host's own queue was not told either. Since a request is refused at its turn if it is too late by then, which empties a queue only when a run ends.

Change: a stop, and the notice of one, wake all requests that wait for a target or at the gate for suspects; each waits until it can't end in time, and is then refused unrun by the host that holds it, so that no cancellation can cross a start. Waits for a connection to the target, for a link, for a settle answer and for a claim end in time, too.

--- a/src/dandelionmount/connection/async_event.h
+++ b/src/dandelionmount/connection/async_event.h
@@ -29,6 +29,10 @@
     /// Wakes all current waiters; later waits return at once.
     void set() {
         is_set_ = true;
+        wake();
+    }
+    /// Ends all current waits without setting the event, so that the waiters check again what they wait for.
+    void wake() {
         for (auto* timer : waiting_) {
             timer->cancel();
         }
@@ -37,7 +41,7 @@
     void reset() { is_set_ = false; }
     [[nodiscard]] bool is_set() const { return is_set_; }
 
-    /// Waits until the event is set or the deadline passes; returns whether it is set then.
+    /// Waits until the event is set, the deadline passes or wake() is called; returns whether it is set then.
     boost::asio::awaitable<bool> wait_until(steady_time deadline) {
         if (is_set_) {
             co_return true;
--- a/src/dandelionmount/connection/caller_server.cpp
+++ b/src/dandelionmount/connection/caller_server.cpp
@@ -273,8 +273,9 @@
 asio::awaitable<wire::forward_reply> caller_server::run_claimed(const http_request& request, std::string key,
                                                                 dispatch_order order) {
     const claim_name name{order.request.account(), std::move(key)};
+    const auto claim_deadline = std::min(order.deadline, latest_run_end(context_.stop));
     const auto claimed =
-        co_await context_.claims->claim(name, claim_fingerprint(request), order.request.id(), order.deadline);
+        co_await context_.claims->claim(name, claim_fingerprint(request), order.request.id(), claim_deadline);
     if (claimed.granted) {
         auto reply = co_await context_.request_dispatcher.dispatch(std::move(order));
         context_.claims->finish(name, claimed.holder, reply);
--- a/src/dandelionmount/connection/peer_link.cpp
+++ b/src/dandelionmount/connection/peer_link.cpp
@@ -96,6 +96,11 @@
     }
 }
 
+// Until when callers can be answered.
+steady_time peer_link::latest_answer_time() const {
+    return context_.stop == nullptr ? steady_time::max() : latest_run_end(*context_.stop);
+}
+
 void peer_link::announce_stop() {
     if (is_connected() && context_.stop != nullptr && is_stopping(*context_.stop)) {
         connection_->stream().send(make_stop_notice(context_.stop->process_end - context_.time.now()));
@@ -324,7 +329,8 @@
 asio::awaitable<forward_result> peer_link::forward(wire::forward_request request, steady_time deadline,
                                                    std::shared_ptr<cancel_token> cancel) {
     auto self = shared_from_this();
-    const auto connect_deadline = std::min(deadline, context_.time.now() + connect_timeout);
+    const auto connect_deadline =
+        std::min({deadline, context_.time.now() + connect_timeout, latest_answer_time()});
     const auto connected = co_await wait_connected(connect_deadline);
     if (connected != connect_outcome::connected || cancel->requested()) {
         const reason why = cancel->requested() ? reason::caller_gone : reason::peer_unreachable;
@@ -392,7 +398,8 @@
         // Registered before settling, as the reply to the request may directly follow the settle reply.
         pending = add_pending(key);
         const auto settle_started_at = context_.time.now();
-        const auto settle_deadline = std::min(deadline, settle_started_at + settle_limit);
+        const auto settle_deadline =
+            std::min({deadline, settle_started_at + settle_limit, latest_answer_time()});
         const auto settled = co_await settle(request, incarnation, settle_deadline);
         log_settlement(request, settled, context_.time.now() - settle_started_at);
         if (settled == settle_outcome::not_run) {
--- a/src/dandelionmount/connection/peer_link.h
+++ b/src/dandelionmount/connection/peer_link.h
@@ -104,6 +104,7 @@
     void handle_frame(wire::peer_frame frame);
     void connection_ended(const std::shared_ptr<peer_connection>& ended);
     void close_if_retired();
+    [[nodiscard]] steady_time latest_answer_time() const;
     void report_reachable(bool reachable) const;
     void log_loss(const peer_connection& lost) const;
     void log_settlement(const wire::forward_request& request, settle_outcome outcome, duration took) const;
--- a/src/dandelionmount/connection/target_connection.cpp
+++ b/src/dandelionmount/connection/target_connection.cpp
@@ -230,13 +230,13 @@
         // The idle connection was lost before any response: a new one is opened.
         lost = std::move(outcome.reply);
     }
-    conn = co_await connect(target.endpoint, deadline);
+    conn = co_await connect(target.endpoint, deadlines.finish_by);
     if (conn == nullptr && lost) {
         // The target may have got the request and ended while it ran it.
         co_return std::move(*lost);
     }
     if (conn == nullptr) {
-        const bool deadline_passed = time_.now() >= deadline;
+        const bool deadline_passed = time_.now() >= deadlines.finish_by;
         co_return make_reply(request, wire::not_run,
                              deadline_passed ? reason::deadline : reason::target_refused);
     }
--- a/src/dandelionmount/process/node.cpp
+++ b/src/dandelionmount/process/node.cpp
@@ -201,6 +201,7 @@
     const auto deadline = time_.now() + settings_.stop_wait;
     stop_.process_end = deadline;
     peers_.announce_stop();
+    executor_.check_waiting();
     // Peers stop sending requests once they receive the update; requests that still arrive are refused as not
     // run, and the peers send them to another host.
     publish_target();
--- a/src/dandelionmount/process/store_node.cpp
+++ b/src/dandelionmount/process/store_node.cpp
@@ -463,6 +463,7 @@
     stopping_ = true;
     stop_.process_end = deadline;
     peers_.announce_stop();
+    executor_.check_waiting();
     publish_target();
     // Requests for this host's target go to other hosts from now on, unless their service has no other
     // target; requests that callers send to this host are still accepted.
--- a/src/dandelionmount/request/executor.cpp
+++ b/src/dandelionmount/request/executor.cpp
@@ -193,9 +193,11 @@
     if (end == steady_time::max()) {
         return end;
     }
-    const auto now = context_.time.now();
-    return end - run_time_bound(context_.target.speed(), attempt.request.route(), now)
-                     .value_or(attempt.deadline - now);
+    const auto bound = run_time_bound(context_.target.speed(), attempt.request.route(), context_.time.now());
+    if (!bound) {
+        return attempt.deadline <= end ? steady_time::max() : steady_time::min();
+    }
+    return end - *bound;
 }
 
 // Whether the attempt is too late to end before this process or that of its sender.
@@ -208,6 +210,12 @@
     return is_own_stop ? reason::host_stopping : reason::sender_stopping;
 }
 
+// Why an attempt was waiting for too long.
+reason executor::expiry_reason(const execution& attempt) const {
+    const reason too_late = check_stop(attempt);
+    return too_late == reason::none ? reason::expired_in_queue : too_late;
+}
+
 reason executor::check_request(execution& attempt) const {
     const reason too_late = check_stop(attempt);
     if (too_late != reason::none) {
@@ -231,7 +239,12 @@
 
 wire::forward_reply executor::make_refusal(const execution& attempt, reason why) const {
     auto reply = make_reply(attempt.request, wire::not_run, why);
-    const duration retry_after = retry_delay(context_.target.limiter(), min_retry_after);
+    duration minimum = min_retry_after;
+    if (why == reason::sender_stopping) {
+        // Callers that know no other host find the next process of this one after its end.
+        minimum = std::max(minimum, latest_end(attempt) + final_reply_time - context_.time.now());
+    }
+    const duration retry_after = retry_delay(context_.target.limiter(), minimum);
     reply.set_retry_after_ms(to_milliseconds(retry_after));
     return reply;
 }
@@ -260,6 +273,19 @@
     co_return reply;
 }
 
+// Waits until the attempt may start, or until it is too late for that; returns whether it may. The time until
+// when it may start moves with the run times, and when a host announces its stop.
+asio::awaitable<bool> executor::wait_for_turn(execution_pointer attempt) {
+    while (!attempt->changed.is_set()) {
+        const auto until = std::min(attempt->deadline - reply_margin, latest_start(*attempt));
+        if (context_.time.now() >= until) {
+            break;
+        }
+        co_await attempt->changed.wait_until(until);
+    }
+    co_return attempt->changed.is_set();
+}
+
 // Returns why the request may not run, or none.
 asio::awaitable<reason> executor::enter_gate(execution_pointer attempt) {
     attempt->pass = pass_for(assess(*attempt).crashes);
@@ -269,12 +295,12 @@
     attempt->ticket = next_ticket_++;
     enqueue(gate_, attempt->ticket, attempt->pass);
     waiting_at_gate_[attempt->ticket] = attempt;
-    const bool changed = co_await attempt->changed.wait_until(attempt->deadline - reply_margin);
+    const bool may_enter = co_await wait_for_turn(attempt);
     attempt->changed.reset();
     waiting_at_gate_.erase(attempt->ticket);
-    if (!changed) {
+    if (!may_enter) {
         dandelionmount::remove_waiting(gate_, attempt->ticket);
-        co_return reason::expired_in_queue;
+        co_return expiry_reason(*attempt);
     }
     co_return attempt->removal_reason;
 }
@@ -353,10 +379,10 @@
     if (decision.what == arrival_decision::action::queue) {
         waiting_[attempt->ticket] = attempt;
         start_waiting_at_next_token(now);
-        const bool changed = co_await attempt->changed.wait_until(request.start_by);
+        const bool may_start = co_await wait_for_turn(attempt);
         waiting_.erase(attempt->ticket);
-        if (!changed && remove_request(limiter.queue, attempt->ticket)) {
-            co_return make_refusal(*attempt, reason::expired_in_queue);
+        if (!may_start && remove_request(limiter.queue, attempt->ticket)) {
+            co_return make_refusal(*attempt, expiry_reason(*attempt));
         }
         if (attempt->removal_reason != reason::none) {
             co_return make_refusal(*attempt, attempt->removal_reason);
@@ -488,6 +514,14 @@
     });
 }
 
+void executor::check_waiting() {
+    for (const auto* waiting : {&waiting_, &waiting_at_gate_}) {
+        for (const auto& [ticket, attempt] : *waiting) {
+            attempt->changed.wake();
+        }
+    }
+}
+
 void executor::remove_waiting(std::uint64_t ticket, reason why) {
     const auto found = waiting_.find(ticket);
     if (found != waiting_.end()) {
@@ -508,6 +542,7 @@
                                   const std::shared_ptr<frame_stream>& stream) {
     if (heartbeat.has_sender_ends_in_ms()) {
         stream->set_peer_end(context_.time.now() + std::chrono::milliseconds(heartbeat.sender_ends_in_ms()));
+        check_waiting();
     }
 }
 
@@ -570,6 +605,8 @@
     }
     const execution_pointer attempt = found->second;
     attempt->stream = stream;
+    // The sender may have announced its stop on this stream only.
+    attempt->changed.wake();
     const bool finished = attempt->current_phase == execution::phase::finished;
     reply->set_state(finished ? wire::settle_finished : wire::settle_running);
     stream->send(frame);
--- a/src/dandelionmount/request/executor.h
+++ b/src/dandelionmount/request/executor.h
@@ -103,6 +103,9 @@
     void acknowledge(const wire::reply_ack& ack);
     /// The running request with that id, which a target sends with its own calls; nullptr when there is none.
     [[nodiscard]] execution_pointer find_running(std::string_view id) const;
+    /// Checks again which of the waiting requests can still end in time, after this process' end was
+    /// scheduled.
+    void check_waiting();
     /// Refuses new requests but those whose senders know no other worker; waiting and running ones are
     /// completed.
     void drain() { intake_ = std::max(intake_, intake::last_resort); }
@@ -122,6 +125,7 @@
     void leave_gate(const execution& attempt);
     boost::asio::awaitable<wire::forward_reply> start_and_run(execution_pointer attempt);
     boost::asio::awaitable<wire::forward_reply> wait_for_start(execution_pointer attempt, bool& started);
+    boost::asio::awaitable<bool> wait_for_turn(execution_pointer attempt);
     boost::asio::awaitable<wire::forward_reply> run_at_target(execution_pointer attempt);
     /// The process of the target that a run started at, and when.
     struct run_start {
@@ -138,6 +142,7 @@
     [[nodiscard]] steady_time latest_end(const execution& attempt) const;
     [[nodiscard]] steady_time latest_start(const execution& attempt) const;
     [[nodiscard]] reason check_stop(const execution& attempt) const;
+    [[nodiscard]] reason expiry_reason(const execution& attempt) const;
     [[nodiscard]] wire::forward_reply make_refusal(const execution& attempt, reason why) const;
     void start_waiting();
     void start_waiting_at_next_token(steady_time now);
--- a/tests/request/executor_test.cpp
+++ b/tests/request/executor_test.cpp
@@ -51,6 +51,11 @@
         request.set_path("/x");
         request.set_route(route);
         request.set_remaining_ms(dm::to_milliseconds(limit));
+        if (id.starts_with("with key")) {
+            auto* header = request.add_headers();
+            header->set_name(std::string(dm::idempotency_header));
+            header->set_value(id);
+        }
         asio::co_spawn(
             io,
             [this, request, limit]() -> asio::awaitable<void> {
@@ -156,4 +161,69 @@
     CHECK(fixture.told_ms["r"] > 300);
 }
 
+// Guards against requests that wait for a target until the process of their sender has ended, and whose
+// callers get no response.
+TEST_CASE("A request that waits is refused before the process of its sender ends, and does not run later") {
+    stopping_sender fixture;
+    fixture.measure();
+    fixture.run_time = milliseconds(1500);
+    for (const auto* id : {"running 1", "running 2", "running 3", "waiting"}) {
+        fixture.send(id);
+    }
+    fixture.run(milliseconds(50));
+    REQUIRE(fixture.runs["running 3"] == 1);
+    REQUIRE(fixture.runs["waiting"] == 0);
+    fixture.stop_within(dm::final_reply_time + milliseconds(600));
+    fixture.run(milliseconds(100));
+    CHECK_FALSE(fixture.replies.contains("waiting"));
+    fixture.run(milliseconds(520));
+    CHECK(fixture.was_refused("waiting"));
+    // Until the process has ended.
+    CHECK(fixture.replies["waiting"].retry_after_ms() > 200);
+    fixture.run(milliseconds(1500));
+    CHECK(fixture.runs["waiting"] == 0);
+    CHECK(fixture.replies["running 1"].outcome() == wire::ran);
+}
+
+// Guards against requests that are given up although they would have been served in time.
+TEST_CASE("A request that waits runs if it can still end before the process of its sender does") {
+    stopping_sender fixture;
+    fixture.run_time = milliseconds(100);
+    fixture.measure();
+    for (const auto* id : {"running 1", "running 2", "running 3", "waiting"}) {
+        fixture.send(id);
+    }
+    fixture.run(milliseconds(10));
+    fixture.stop_within(dm::final_reply_time + milliseconds(260));
+    fixture.run(milliseconds(400));
+    CHECK(fixture.replies["waiting"].outcome() == wire::ran);
+}
+
+// The end of the wait may meet the start of a run, for a request with an idempotency key as for any other.
+TEST_CASE("Whatever waits while its sender stops either runs and is answered in time, or never runs") {
+    for (int round = 0; round < 8; ++round) {
+        CAPTURE(round);
+        stopping_sender fixture;
+        fixture.measure();
+        std::vector<std::string> ids;
+        for (int number = 0; number < 11; ++number) {
+            ids.push_back((number % 2 == 0 ? "plain " : "with key ") + std::to_string(number));
+            fixture.send(ids.back());
+        }
+        fixture.stop_within(dm::final_reply_time + milliseconds(30 + 5 * round));
+        fixture.run(milliseconds(300));
+        int refused = 0;
+        for (const auto& id : ids) {
+            CAPTURE(id);
+            REQUIRE(fixture.replies.contains(id));
+            CHECK(fixture.replied_at[id] <= fixture.stop.process_end);
+            const bool ran = fixture.replies[id].outcome() == wire::ran;
+            refused += fixture.replies[id].outcome() == wire::not_run ? 1 : 0;
+            CHECK(fixture.runs[id] == (ran ? 1 : 0));
+        }
+        CHECK(refused > 0);
+        CHECK(refused < 11);
+    }
+}
+
 TEST_SUITE_END();
--- a/tests/system/store_stops_test.py
+++ b/tests/system/store_stops_test.py
@@ -157,6 +157,34 @@
         # Some of them were sent when a run of the longest time would not have ended any more.
         self.assertGreater(max(result["sent"] for result in of_stop if result["status"] == 200), ended - 2)
 
+    def check_stop_beside_a_queue(self, callers_host, stopped_host):
+        """Stops a host while more requests wait for the only target of their service than it serves until the end."""
+        self.start(["front", "back"], timeout="8500ms", public=True)
+        target = self.fleet.targets[1]
+        target.service_time_s = 0.9
+        results = self.start_callers(110, callers_host, "GET", "/read/x", None, 10, 0.3)
+        time.sleep(6)
+        stop_began, _ = self.stop_node(stopped_host)
+        for caller in self.callers:
+            caller.is_stopping = True
+        runs_before = len(target.runs)
+        time.sleep(1.5)
+        of_stop = self.check_results([result for result in results if result["sent"] < stop_began + 2], stop_began)
+        self.end_callers()
+        return stop_began, of_stop, runs_before
+
+    # Guards against requests that wait for a worker of another host when theirs stops: they were dropped with its
+    # process, though it could be proved that they had not run.
+    def test_a_stopping_host_answers_requests_that_wait_for_another_host(self):
+        stop_began, of_stop, _ = self.check_stop_beside_a_queue(0, 0)
+        # Those that could be served were: 18 runs at a time, started up to 1.2 s before the process ended.
+        self.assertGreater(sum(result["status"] == 200 for result in of_stop), 36)
+        self.assertGreater(sum(result["status"] == 503 for result in of_stop), 0)
+
+    # The same queue beside the stopping host.
+    def test_a_stopping_host_answers_requests_that_wait_for_its_own_target(self):
+        self.check_stop_beside_a_queue(1, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
